--- /dev/null
+++ b/crates/document/src/lib.rs
@@ -0,0 +1,30 @@
+//! The operators' document and the settings file.
+//!
+//! ```
+//! use fulmarrill_document::OperatorDocument;
+//!
+//! let text = r#"{
+//!     // Who is served first.
+//!     "ranks": [{"name": "urgent", "floor_percent": 20, "deadline_ms": 2000}],
+//!     "services": [{"name": "renewals", "rank": "urgnet"}],
+//! }"#;
+//! let faults = OperatorDocument::parse(text).unwrap_err();
+//! assert_eq!(faults[0].path, "services[0].rank");
+//! ```
+//!
+//! Both are JSON with comments. A text is accepted as a whole or refused with
+//! every fault, each named by its path.
+
+mod fault;
+mod operators;
+mod reader;
+mod settings;
+mod text;
+
+pub use crate::fault::{DocumentFault, show_faults};
+pub use crate::operators::{
+    OperatorDocument, PlacePolicy, RankDefinition, RequestPolicy, ServicePolicy,
+};
+pub use crate::reader::ObjectReader;
+pub use crate::settings::HostSettings;
+pub use crate::text::parse_json;
--- /dev/null
+++ b/crates/document/src/text.rs
@@ -0,0 +1,37 @@
+//! Reads JSON with comments.
+
+use jsonc_parser::{ParseOptions, parse_to_serde_value};
+use serde_json::Value;
+
+use crate::fault::DocumentFault;
+
+/// Parses JSON with `//` and `/* */` comments and trailing commas.
+///
+/// # Errors
+///
+/// One fault with its line and column.
+pub fn parse_json(text: &str) -> Result<Value, Vec<DocumentFault>> {
+    let options = ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    };
+    match parse_to_serde_value::<Value>(text, &options) {
+        Ok(value) => Ok(value),
+        Err(error) => {
+            let place = format!(
+                "line {}, column {}",
+                error.line_display(),
+                error.column_display()
+            );
+            Err(vec![DocumentFault::new(place, error.kind().to_string())])
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/layout.rs
@@ -0,0 +1,152 @@
+//! What a deployment looks like.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+/// A data centre and its region.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct SiteLayout {
+    /// Name of the data centre.
+    pub data_centre: CompactString,
+    /// Region.
+    pub region: CompactString,
+}
+
+/// A host.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct HostLayout {
+    /// Name.
+    pub name: CompactString,
+    /// Data centre.
+    pub data_centre: CompactString,
+}
+
+/// A database instance.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct InstanceLayout {
+    /// Name.
+    pub name: CompactString,
+    /// Data centre.
+    pub data_centre: CompactString,
+}
+
+/// A database group. Its first instance is the first primary.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct DatabaseLayout {
+    /// Name.
+    pub name: CompactString,
+    /// Instances.
+    pub instances: Vec<InstanceLayout>,
+}
+
+/// A whole deployment.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct FleetLayout {
+    /// Data centres.
+    pub sites: Vec<SiteLayout>,
+    /// Hosts.
+    pub hosts: Vec<HostLayout>,
+    /// Databases.
+    pub databases: Vec<DatabaseLayout>,
+    /// Data centre of the platform.
+    pub platform_data_centre: CompactString,
+    /// Slots of each instance.
+    pub slots: usize,
+    /// Connections that each instance accepts.
+    pub connection_limit: usize,
+    /// Latency one way between data centres of a region, in microseconds.
+    pub site_latency_us: u64,
+    /// Latency one way between regions, in microseconds.
+    pub region_latency_us: u64,
+    /// Time that a statement keeps its slot, in microseconds.
+    pub statement_us: u64,
+    /// The operators' document.
+    pub document: String,
+    /// Statements that make the schema of each database.
+    pub schema: Vec<String>,
+}
+
+impl FleetLayout {
+    /// Odznak Labs' deployment of today.
+    ///
+    /// # Panics
+    ///
+    /// Never: the file is part of the program and tested.
+    #[must_use]
+    pub fn odznak() -> Self {
+        serde_json::from_str(include_str!("../layouts/odznak.json")).expect("a tested file")
+    }
+
+    /// Haskell Sign Works' deployment of today.
+    ///
+    /// # Panics
+    ///
+    /// Never: the file is part of the program and tested.
+    #[must_use]
+    pub fn haskell() -> Self {
+        serde_json::from_str(include_str!("../layouts/haskell.json")).expect("a tested file")
+    }
+
+    /// Keeps only the first `count` databases.
+    #[must_use]
+    pub fn with_databases(mut self, count: usize) -> Self {
+        self.databases.truncate(count);
+        self
+    }
+
+    /// Keeps only the first host of each data centre.
+    #[must_use]
+    pub fn with_one_host_per_site(mut self) -> Self {
+        let mut kept: Vec<HostLayout> = Vec::new();
+        for host in &self.hosts {
+            if kept
+                .iter()
+                .any(|other| other.data_centre == host.data_centre)
+            {
+                continue;
+            }
+            kept.push(host.clone());
+        }
+        self.hosts = kept;
+        self
+    }
+
+    /// Sets the time that a statement keeps its slot.
+    #[must_use]
+    pub fn with_statement_us(mut self, time_us: u64) -> Self {
+        self.statement_us = time_us;
+        self
+    }
+
+    /// Sets the latencies between data centres and between regions.
+    #[must_use]
+    pub fn with_latencies_us(mut self, site_us: u64, region_us: u64) -> Self {
+        self.site_latency_us = site_us;
+        self.region_latency_us = region_us;
+        self
+    }
+
+    /// Region of a data centre; empty if it is not in the layout.
+    #[must_use]
+    pub fn region_of(&self, data_centre: &str) -> CompactString {
+        let site = self
+            .sites
+            .iter()
+            .find(|site| site.data_centre == data_centre);
+        site.map(|site| site.region.clone()).unwrap_or_default()
+    }
+
+    /// Latency one way between two data centres.
+    #[must_use]
+    pub fn latency(&self, from: &str, to: &str) -> Duration {
+        if from == to {
+            return Duration::ZERO;
+        }
+        if self.region_of(from) == self.region_of(to) {
+            return Duration::from_micros(self.site_latency_us);
+        }
+        Duration::from_micros(self.region_latency_us)
+    }
+}
--- /dev/null
+++ b/crates/host/src/entry/batch.rs
@@ -0,0 +1,280 @@
+//! A batch of the extended protocol, up to `Sync`, and its statements.
+//!
+//! Connections are shared, so a caller's prepared statements get names that
+//! depend on their content only; the owner prepares them where they lack.
+
+use std::collections::HashMap;
+use std::fmt::Write as _;
+
+use bytes::BytesMut;
+use compact_str::CompactString;
+use fulmarrill_peer::PreparedParse;
+use fulmarrill_pg::{ErrorReport, PgError, encode_frontend, sqlstate};
+use pgwire::messages::PgWireFrontendMessage;
+use pgwire::messages::extendedquery::{
+    Bind, Close, Describe, Parse, Sync, TARGET_TYPE_BYTE_STATEMENT,
+};
+use sha2::{Digest, Sha256};
+
+use crate::entry::local::{LocalStatement, read_local};
+use crate::entry::statement::{StatementClass, classify, combine, ends_transaction};
+
+/// Bytes of the hash that make a statement's name.
+const NAME_HASH_BYTES: usize = 12;
+/// Prepared statements that one session may hold.
+const STATEMENTS_MAX: usize = 10_000;
+
+/// A prepared statement of a caller.
+#[derive(Debug, Clone)]
+pub struct CallerStatement {
+    /// Its text.
+    pub text: CompactString,
+    /// What it does.
+    pub class: StatementClass,
+    /// Set if the entry answers it itself.
+    pub local: Option<LocalStatement>,
+    prepared: PreparedParse,
+}
+
+/// What a batch does as a whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BatchWork {
+    /// There is nothing in it.
+    Nothing,
+    /// The entry answers it.
+    Local,
+    /// It goes to an instance.
+    Remote(StatementClass),
+}
+
+/// A batch ready to be sent.
+#[derive(Debug, Default)]
+pub struct ReadyBatch {
+    /// Statements that it refers to and does not prepare itself.
+    pub prepared: Vec<PreparedParse>,
+    /// Encoded messages.
+    pub payload: Vec<u8>,
+    /// Texts of the statements that it executes.
+    pub text: CompactString,
+    /// Whether a statement in it ends the open transaction.
+    pub ends_transaction: bool,
+}
+
+/// The statements of a session and the messages since the last `Sync`.
+#[derive(Debug, Default)]
+pub struct StatementBatch {
+    statements: HashMap<String, CallerStatement>,
+    portals: HashMap<String, CallerStatement>,
+    messages: Vec<PgWireFrontendMessage>,
+    used: Vec<CallerStatement>,
+    parsed: Vec<CompactString>,
+    remote: bool,
+    local: bool,
+}
+
+impl StatementBatch {
+    /// Takes a message of the extended protocol other than `Sync` and `Flush`.
+    ///
+    /// # Errors
+    ///
+    /// When the statement cannot be encoded or too many are prepared.
+    pub fn push(&mut self, message: PgWireFrontendMessage) -> Result<(), ErrorReport> {
+        match message {
+            PgWireFrontendMessage::Parse(parse) => self.push_parse(parse)?,
+            PgWireFrontendMessage::Bind(bind) => self.push_bind(bind),
+            PgWireFrontendMessage::Describe(describe) => self.push_describe(describe),
+            PgWireFrontendMessage::Close(close) => self.push_close(close),
+            other => self.messages.push(other),
+        }
+        Ok(())
+    }
+
+    fn push_parse(&mut self, parse: Parse) -> Result<(), ErrorReport> {
+        if self.statements.len() >= STATEMENTS_MAX {
+            let text = format!("session has prepared {STATEMENTS_MAX} statements already");
+            return Err(ErrorReport::new(sqlstate::LIMIT_EXCEEDED, text));
+        }
+        let name = content_name(&parse);
+        let rewritten = Parse::new(Some(name.to_string()), parse.query.clone(), parse.type_oids);
+        let message = PgWireFrontendMessage::Parse(rewritten);
+        let bytes = encode_frontend(std::slice::from_ref(&message))
+            .map_err(|error| encode_report(&error))?;
+        let statement = CallerStatement {
+            local: read_local(&parse.query),
+            class: classify(&parse.query),
+            text: parse.query.into(),
+            prepared: PreparedParse {
+                name: name.clone(),
+                parse: bytes.to_vec(),
+            },
+        };
+        self.note_kind(&statement);
+        self.statements
+            .insert(parse.name.unwrap_or_default(), statement);
+        self.parsed.push(name);
+        self.messages.push(message);
+        Ok(())
+    }
+
+    fn note_kind(&mut self, statement: &CallerStatement) {
+        if statement.local.is_some() {
+            self.local = true;
+        } else {
+            self.remote = true;
+        }
+    }
+
+    fn push_bind(&mut self, mut bind: Bind) {
+        let name = bind.statement_name.take().unwrap_or_default();
+        let Some(statement) = self.statements.get(&name).cloned() else {
+            // Unknown to the session, hence to the database: it will say so.
+            bind.statement_name = Some(name);
+            self.remote = true;
+            self.messages.push(PgWireFrontendMessage::Bind(bind));
+            return;
+        };
+        bind.statement_name = Some(statement.prepared.name.to_string());
+        self.note_kind(&statement);
+        let portal = bind.portal_name.clone().unwrap_or_default();
+        self.portals.insert(portal, statement.clone());
+        self.used.push(statement);
+        self.messages.push(PgWireFrontendMessage::Bind(bind));
+    }
+
+    fn push_describe(&mut self, describe: Describe) {
+        let name = describe.name.clone().unwrap_or_default();
+        let statement = self.statements.get(&name).cloned();
+        if describe.target_type != TARGET_TYPE_BYTE_STATEMENT {
+            self.messages
+                .push(PgWireFrontendMessage::Describe(describe));
+            return;
+        }
+        let Some(statement) = statement else {
+            self.remote = true;
+            self.messages
+                .push(PgWireFrontendMessage::Describe(describe));
+            return;
+        };
+        self.note_kind(&statement);
+        let name = Some(statement.prepared.name.to_string());
+        let describe = Describe::new(TARGET_TYPE_BYTE_STATEMENT, name);
+        self.used.push(statement);
+        self.messages
+            .push(PgWireFrontendMessage::Describe(describe));
+    }
+
+    fn push_close(&mut self, close: Close) {
+        let mut close = close;
+        if close.target_type == TARGET_TYPE_BYTE_STATEMENT {
+            // The shared connection keeps it for others; closing the unnamed
+            // statement gets the caller its reply.
+            self.statements
+                .remove(&close.name.take().unwrap_or_default());
+        }
+        self.messages.push(PgWireFrontendMessage::Close(close));
+    }
+
+    /// What the batch does.
+    #[must_use]
+    pub fn work(&self) -> BatchWork {
+        if self.messages.is_empty() {
+            return BatchWork::Nothing;
+        }
+        if self.local && !self.remote {
+            return BatchWork::Local;
+        }
+        let mut class = StatementClass::Empty;
+        let executes = self
+            .messages
+            .iter()
+            .any(|m| matches!(m, PgWireFrontendMessage::Execute(_)));
+        for statement in &self.used {
+            class = combine(class, statement.class);
+        }
+        if !executes {
+            // Describing changes nothing, whatever the statement would do.
+            class = StatementClass::Read;
+        }
+        BatchWork::Remote(class)
+    }
+
+    /// Whether statements of both kinds are in the batch.
+    #[must_use]
+    pub fn is_mixed(&self) -> bool {
+        self.local && self.remote
+    }
+
+    /// The messages, for an answer by the entry.
+    #[must_use]
+    pub fn take_messages(&mut self) -> Vec<PgWireFrontendMessage> {
+        std::mem::take(&mut self.messages)
+    }
+
+    /// The statement that a name given by [`StatementBatch`] stands for.
+    #[must_use]
+    pub fn find_by_content(&self, name: &str) -> Option<&CallerStatement> {
+        self.statements
+            .values()
+            .find(|statement| statement.prepared.name == name)
+    }
+
+    /// The statement bound to a portal.
+    #[must_use]
+    pub fn find_portal(&self, portal: &str) -> Option<&CallerStatement> {
+        self.portals.get(portal)
+    }
+
+    /// Ends the batch with a `Sync` and encodes it.
+    ///
+    /// # Errors
+    ///
+    /// When a message cannot be encoded.
+    pub fn finish(&mut self) -> Result<ReadyBatch, ErrorReport> {
+        self.messages.push(PgWireFrontendMessage::Sync(Sync::new()));
+        let payload: BytesMut =
+            encode_frontend(&self.messages).map_err(|error| encode_report(&error))?;
+        let mut batch = ReadyBatch {
+            payload: payload.to_vec(),
+            ..ReadyBatch::default()
+        };
+        for statement in &self.used {
+            let known = |prepared: &PreparedParse| prepared.name == statement.prepared.name;
+            if !self.parsed.contains(&statement.prepared.name) && !batch.prepared.iter().any(known)
+            {
+                batch.prepared.push(statement.prepared.clone());
+            }
+            if batch.text.is_empty() {
+                batch.text.clone_from(&statement.text);
+            }
+            batch.ends_transaction |= ends_transaction(&statement.text);
+        }
+        Ok(batch)
+    }
+
+    /// Forgets the batch; prepared statements stay.
+    pub fn clear(&mut self) {
+        self.messages.clear();
+        self.used.clear();
+        self.parsed.clear();
+        self.remote = false;
+        self.local = false;
+    }
+}
+
+/// A name that depends on the statement's text and parameter types only.
+fn content_name(parse: &Parse) -> CompactString {
+    let mut digest = Sha256::new();
+    digest.update(parse.query.as_bytes());
+    for oid in &parse.type_oids {
+        digest.update(oid.to_be_bytes());
+    }
+    let mut name = CompactString::from("fm_");
+    for byte in &digest.finalize()[..NAME_HASH_BYTES] {
+        let _ = write!(name, "{byte:02x}");
+    }
+    name
+}
+
+fn encode_report(error: &PgError) -> ErrorReport {
+    ErrorReport::new(sqlstate::PROTOCOL_VIOLATION, error.to_string())
+}
--- /dev/null
+++ b/crates/host/src/entry/local.rs
@@ -0,0 +1,74 @@
+//! Statements that the entry answers itself: this project's session settings
+//! and those of drivers that every instance has the same way.
+
+use compact_str::CompactString;
+
+use crate::entry::options::SETTING_PREFIX;
+
+/// Settings whose usual values every instance has; drivers set them first.
+const HARMLESS_SETTINGS: [&str; 6] = [
+    "client_encoding",
+    "application_name",
+    "extra_float_digits",
+    "datestyle",
+    "timezone",
+    "standard_conforming_strings",
+];
+
+/// A statement for the entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LocalStatement {
+    /// `SET fulmarrill.NAME = 'VALUE'`.
+    Set(CompactString, CompactString),
+    /// `SHOW fulmarrill.NAME`.
+    Show(CompactString),
+    /// Accepted without effect, with its command tag.
+    Accept(&'static str),
+}
+
+/// Reads a statement for the entry; `None` for any other.
+#[must_use]
+pub fn read_local(text: &str) -> Option<LocalStatement> {
+    let text = text.trim().trim_end_matches(';').trim_end();
+    let (word, rest) = text.split_once(char::is_whitespace)?;
+    let rest = rest.trim_start();
+    match word.to_ascii_uppercase().as_str() {
+        "SET" => read_set(rest),
+        "SHOW" => strip_setting(rest).map(|name| LocalStatement::Show(name.into())),
+        "RESET" => strip_setting(rest)
+            .map(|name| LocalStatement::Set(name.into(), CompactString::default())),
+        "DISCARD" => Some(LocalStatement::Accept("DISCARD ALL")),
+        "DEALLOCATE" => Some(LocalStatement::Accept("DEALLOCATE")),
+        _ => None,
+    }
+}
+
+fn strip_setting(text: &str) -> Option<String> {
+    let lower = text.to_ascii_lowercase();
+    lower
+        .strip_prefix(SETTING_PREFIX)
+        .map(|name| name.trim().to_owned())
+}
+
+fn read_set(rest: &str) -> Option<LocalStatement> {
+    let lower = rest.to_ascii_lowercase();
+    let rest = match lower.strip_prefix("session ") {
+        Some(_) => rest["session ".len()..].trim_start(),
+        None => rest,
+    };
+    let end = rest.find(|c: char| c == '=' || c.is_whitespace())?;
+    let (name, value) = rest.split_at(end);
+    let value = value.trim_start();
+    let value = value.strip_prefix('=').or_else(|| {
+        value
+            .get(..3)
+            .filter(|to| to.eq_ignore_ascii_case("to "))
+            .map(|_| &value[3..])
+    })?;
+    let value = value.trim().trim_matches('\'').replace("''", "'");
+    if let Some(name) = strip_setting(name) {
+        return Some(LocalStatement::Set(name.into(), value.into()));
+    }
+    let known = HARMLESS_SETTINGS.contains(&name.to_ascii_lowercase().as_str());
+    known.then_some(LocalStatement::Accept("SET"))
+}
--- /dev/null
+++ b/crates/host/src/entry/router.rs
@@ -0,0 +1,170 @@
+//! Sends a request to an instance's owner and notes how it went.
+
+use std::time::Instant;
+
+use compact_str::{CompactString, format_compact};
+use fulmarrill_document::RequestPolicy;
+use fulmarrill_ownership::HostEntry;
+use fulmarrill_peer::{
+    NotRunReason, PeerCall, PeerReply, PinId, PreparedParse, WorkAnswer, WorkKind, WorkRequest,
+};
+use fulmarrill_position::{DatabaseName, InstanceName, LogPoint, Term};
+use fulmarrill_replication::GroupInstance;
+
+use crate::context::SharedContext;
+use crate::view::ControlView;
+
+/// A request of a session on its way to an instance.
+#[derive(Debug, Clone)]
+pub struct EntryRequest {
+    /// Database.
+    pub database: DatabaseName,
+    /// What the operators' document says about the session.
+    pub policy: RequestPolicy,
+    /// Service and customer, between which a rank is fair.
+    pub flow: CompactString,
+    /// Customer.
+    pub customer: CompactString,
+    /// Request key.
+    pub key: Option<CompactString>,
+    /// What the session must see; none if it brought nothing.
+    pub floor: Option<LogPoint>,
+    /// When the answer is worth nothing any more.
+    pub deadline: Instant,
+    /// Statements that the payload refers to.
+    pub prepared: Vec<PreparedParse>,
+    /// Encoded messages of the caller.
+    pub payload: Vec<u8>,
+}
+
+/// Where an open transaction is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PinnedPlace {
+    /// Host that has the connection.
+    pub host: HostEntry,
+    /// Instance.
+    pub instance: InstanceName,
+    /// Term of the group when the transaction began.
+    pub term: Term,
+    /// Number of the pinned connection.
+    pub pin: PinId,
+}
+
+/// An answer and where it came from.
+#[derive(Debug)]
+pub struct RoutedAnswer {
+    /// The answer.
+    pub answer: WorkAnswer,
+    /// Where the transaction is that the request opened.
+    pub place: Option<PinnedPlace>,
+    /// Whether a replica served it.
+    pub by_replica: bool,
+}
+
+impl RoutedAnswer {
+    /// An answer without a place.
+    #[must_use]
+    pub fn new(answer: WorkAnswer) -> Self {
+        Self {
+            answer,
+            place: None,
+            by_replica: false,
+        }
+    }
+}
+
+impl EntryRequest {
+    /// The request as it goes to an owner.
+    #[must_use]
+    pub fn to_work(
+        &self,
+        instance: &str,
+        term: Term,
+        kind: WorkKind,
+        deadline: Instant,
+    ) -> WorkRequest {
+        WorkRequest {
+            database: self.database.clone(),
+            instance: instance.into(),
+            term,
+            kind,
+            rank: self.policy.rank,
+            flow: self.flow.clone(),
+            customer: self.customer.clone(),
+            key: self.key.clone(),
+            deadline,
+            prepared: self.prepared.clone(),
+            payload: self.payload.clone(),
+        }
+    }
+}
+
+/// Sends work to the owner of an instance.
+pub async fn send_to_owner(
+    context: &SharedContext,
+    view: &ControlView,
+    instance: &GroupInstance,
+    work: WorkRequest,
+) -> RoutedAnswer {
+    let Some(host) = view.owner_of(instance) else {
+        let text = "no live host owns the instance";
+        return RoutedAnswer::new(WorkAnswer::not_run(NotRunReason::Unavailable, text));
+    };
+    let term = work.term;
+    let answer = send_to_host(context, host, work).await;
+    let place = match &answer {
+        WorkAnswer::Served { pin: Some(pin), .. } => Some(PinnedPlace {
+            host: host.clone(),
+            instance: instance.name.clone(),
+            term,
+            pin: *pin,
+        }),
+        _ => None,
+    };
+    RoutedAnswer {
+        answer,
+        place,
+        by_replica: false,
+    }
+}
+
+/// Sends work to a host, which may be this one.
+pub async fn send_to_host(
+    context: &SharedContext,
+    host: &HostEntry,
+    work: WorkRequest,
+) -> WorkAnswer {
+    let instance = work.instance.clone();
+    let sent_at = Instant::now();
+    context.entry.note_sent(&instance);
+    let answer = if host.name == context.settings.host {
+        Box::pin(crate::owner::run_work(context, &host.name, work)).await
+    } else {
+        call_host(context, host, work).await
+    };
+    let applied = match &answer {
+        WorkAnswer::Served { point, .. } => Some(*point),
+        _ => None,
+    };
+    context
+        .entry
+        .note_answered(&instance, sent_at.elapsed(), applied);
+    answer
+}
+
+async fn call_host(context: &SharedContext, host: &HostEntry, work: WorkRequest) -> WorkAnswer {
+    let deadline = work.deadline;
+    let call = PeerCall::Work(Box::new(work));
+    match context.peers.call(&host.peer_address, call, deadline).await {
+        Ok(PeerReply::Work(answer)) => answer,
+        Ok(_) => WorkAnswer::unknown("owner sent a reply of another kind"),
+        Err(error) if error.may_have_arrived() => WorkAnswer::unknown(format_compact!(
+            "owner {} did not answer: {error}",
+            host.name
+        )),
+        Err(error) => {
+            let text = format_compact!("owner {} cannot be reached: {error}", host.name);
+            WorkAnswer::not_run(NotRunReason::Unavailable, text)
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/entry/session.rs
@@ -0,0 +1,567 @@
+//! One caller's session.
+
+use std::time::{Instant, SystemTime};
+
+use bytes::BytesMut;
+use compact_str::{CompactString, format_compact};
+use fulmarrill_document::RequestPolicy;
+use fulmarrill_idempotency::RequestKey;
+use fulmarrill_peer::WorkAnswer;
+use fulmarrill_pg::{
+    ErrorReport, MessageStream, PgError, STATUS_IDLE, StartupRequest, decode_frontend,
+    encode_backend, encode_frontend, greet_caller, read_startup, sqlstate,
+};
+use fulmarrill_position::SessionPosition;
+use fulmarrill_records::{RequestOutcome, RequestRecord};
+use pgwire::messages::data::{
+    DataRow, FieldDescription, NoData, ParameterDescription, RowDescription,
+};
+use pgwire::messages::extendedquery::{
+    BindComplete, CloseComplete, ParseComplete, TARGET_TYPE_BYTE_STATEMENT,
+};
+use pgwire::messages::response::{
+    CommandComplete, EmptyQueryResponse, ReadyForQuery, TransactionStatus,
+};
+use pgwire::messages::startup::ParameterStatus;
+use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
+use smol::net::TcpStream;
+
+use crate::context::SharedContext;
+use crate::entry::batch::{BatchWork, StatementBatch};
+use crate::entry::local::{LocalStatement, read_local};
+use crate::entry::options::{CallerIdentity, read_identity};
+use crate::entry::reads::run_read;
+use crate::entry::refusal::{not_run_report, unknown_report};
+use crate::entry::router::{EntryRequest, PinnedPlace, RoutedAnswer};
+use crate::entry::statement::{StatementClass, classify, ends_transaction};
+use crate::entry::writes::{abandon, run_step, run_write};
+use crate::metrics::ServedWork;
+
+/// Type id of `text`.
+const TEXT_OID: u32 = 25;
+/// Bytes of the `ReadyForQuery` message that ends an answer.
+const READY_BYTES: usize = 6;
+
+/// The session's transaction, as the caller sees it.
+#[derive(Debug)]
+enum SessionTransaction {
+    /// None is open.
+    Idle,
+    /// Open, at this place.
+    Open(PinnedPlace),
+    /// Lost or failed at the entry; the caller has yet to end it.
+    Failed,
+}
+
+/// One request on its way through the session.
+#[derive(Debug)]
+struct SessionWork {
+    class: StatementClass,
+    text: CompactString,
+    ends_transaction: bool,
+    prepared: Vec<fulmarrill_peer::PreparedParse>,
+    payload: Vec<u8>,
+}
+
+/// A caller's session.
+struct CallerSession {
+    context: SharedContext,
+    stream: MessageStream,
+    identity: CallerIdentity,
+    position: SessionPosition,
+    position_told: CompactString,
+    key: Option<CompactString>,
+    transaction: SessionTransaction,
+    batch: StatementBatch,
+    skip_to_sync: bool,
+}
+
+/// Serves a caller from its first message to its end.
+pub async fn serve_caller(context: SharedContext, stream: TcpStream) {
+    let mut stream = MessageStream::new(stream);
+    let parameters = match read_startup(&mut stream).await {
+        Ok(StartupRequest::Session(parameters)) => parameters,
+        Ok(StartupRequest::Cancel(_)) => return,
+        Err(error) => {
+            log::debug!("caller gave no startup message: {error}");
+            return;
+        }
+    };
+    let identity = read_identity(&parameters);
+    let position = match identity.position.parse() {
+        Ok(position) => position,
+        Err(error) => {
+            let text = format!("fulmarrill.position: {error}");
+            refuse(
+                &mut stream,
+                &ErrorReport::new(sqlstate::INVALID_PARAMETER, text),
+            )
+            .await;
+            return;
+        }
+    };
+    let known = context.view.load();
+    if !known.groups.is_empty() && known.group(&identity.database).is_none() {
+        let text = format!("database \"{}\" does not exist", identity.database);
+        refuse(&mut stream, &ErrorReport::new(sqlstate::NO_DATABASE, text)).await;
+        return;
+    }
+    let process_id = context.entry.make_process_id();
+    let mut session = CallerSession {
+        context,
+        stream,
+        identity,
+        position,
+        position_told: CompactString::default(),
+        key: None,
+        transaction: SessionTransaction::Idle,
+        batch: StatementBatch::default(),
+        skip_to_sync: false,
+    };
+    if let Err(error) = session.serve(process_id).await {
+        log::debug!("session ended: {error}");
+    }
+    session.end();
+}
+
+async fn refuse(stream: &mut MessageStream, report: &ErrorReport) {
+    if let Ok(bytes) = encode_backend(&[report.clone().with_fatal().to_message()]) {
+        stream.write(&bytes).await.ok();
+    }
+}
+
+impl CallerSession {
+    async fn serve(&mut self, process_id: i32) -> Result<(), PgError> {
+        greet_caller(&mut self.stream, process_id).await?;
+        loop {
+            let mut message = self.stream.read_message().await?;
+            let Some(message) = decode_frontend(&mut message)? else {
+                continue;
+            };
+            if matches!(message, PgWireFrontendMessage::Terminate(_)) {
+                return Ok(());
+            }
+            let context = self.context.clone();
+            let _guard = context.life.enter();
+            // Boxed, so that an idle session takes little room.
+            Box::pin(self.handle(message)).await?;
+        }
+    }
+
+    /// Rolls back what is open.
+    fn end(&mut self) {
+        let transaction = std::mem::replace(&mut self.transaction, SessionTransaction::Idle);
+        if let SessionTransaction::Open(place) = transaction {
+            abandon(&self.context, &self.identity.database, place);
+        }
+    }
+
+    async fn handle(&mut self, message: PgWireFrontendMessage) -> Result<(), PgError> {
+        match message {
+            PgWireFrontendMessage::Query(query) => self.handle_query(&query.query).await,
+            PgWireFrontendMessage::Sync(_) => self.handle_sync(true).await,
+            PgWireFrontendMessage::Flush(_) => self.handle_sync(false).await,
+            message if message.is_extended_query() => {
+                if self.skip_to_sync {
+                    return Ok(());
+                }
+                if let Err(report) = self.batch.push(message) {
+                    self.skip_to_sync = true;
+                    self.batch.clear();
+                    return self.send(&[report.to_message()]).await;
+                }
+                Ok(())
+            }
+            _ => {
+                let report = ErrorReport::new(sqlstate::NOT_SUPPORTED, "message is not supported");
+                self.answer_error(&report).await
+            }
+        }
+    }
+
+    async fn send(&mut self, messages: &[PgWireBackendMessage]) -> Result<(), PgError> {
+        let bytes = encode_backend(messages)?;
+        self.stream.write(&bytes).await
+    }
+
+    fn ready(&self) -> PgWireBackendMessage {
+        let status = match self.transaction {
+            SessionTransaction::Idle => TransactionStatus::Idle,
+            SessionTransaction::Open(_) => TransactionStatus::Transaction,
+            SessionTransaction::Failed => TransactionStatus::Error,
+        };
+        PgWireBackendMessage::ReadyForQuery(ReadyForQuery::new(status))
+    }
+
+    async fn answer_error(&mut self, report: &ErrorReport) -> Result<(), PgError> {
+        let ready = self.ready();
+        self.send(&[report.to_message(), ready]).await
+    }
+
+    async fn handle_query(&mut self, text: &str) -> Result<(), PgError> {
+        if let Some(local) = read_local(text) {
+            let mut messages = self.run_local(&local, true);
+            messages.push(self.ready());
+            return self.send(&messages).await;
+        }
+        let class = classify(text);
+        if class == StatementClass::Empty {
+            let empty = PgWireBackendMessage::EmptyQueryResponse(EmptyQueryResponse::new());
+            let ready = self.ready();
+            return self.send(&[empty, ready]).await;
+        }
+        let query = pgwire::messages::simplequery::Query::new(text.to_owned());
+        let payload = encode_frontend(&[PgWireFrontendMessage::Query(query)])?.to_vec();
+        let work = SessionWork {
+            class,
+            text: text.into(),
+            ends_transaction: ends_transaction(text),
+            prepared: Vec::new(),
+            payload,
+        };
+        self.run(work, true).await
+    }
+
+    /// Runs the batch. `ready` says that the caller waits for `ReadyForQuery`:
+    /// after a `Flush` it does not.
+    async fn handle_sync(&mut self, ready: bool) -> Result<(), PgError> {
+        if self.skip_to_sync {
+            if ready {
+                self.skip_to_sync = false;
+                let message = self.ready();
+                return self.send(&[message]).await;
+            }
+            return Ok(());
+        }
+        let result = self.run_batch(ready).await;
+        self.batch.clear();
+        result
+    }
+
+    async fn run_batch(&mut self, ready: bool) -> Result<(), PgError> {
+        if self.batch.is_mixed() {
+            let text = "settings of fulmarrill and other statements cannot share a batch";
+            return self
+                .answer_error(&ErrorReport::new(sqlstate::NOT_SUPPORTED, text))
+                .await;
+        }
+        match self.batch.work() {
+            BatchWork::Nothing if ready => {
+                let message = self.ready();
+                self.send(&[message]).await
+            }
+            BatchWork::Nothing => Ok(()),
+            BatchWork::Local => self.answer_local_batch(ready).await,
+            BatchWork::Remote(class) => match self.batch.finish() {
+                Ok(batch) => {
+                    let work = SessionWork {
+                        class,
+                        text: batch.text,
+                        ends_transaction: batch.ends_transaction,
+                        prepared: batch.prepared,
+                        payload: batch.payload,
+                    };
+                    self.run(work, ready).await
+                }
+                Err(report) => self.answer_error(&report).await,
+            },
+        }
+    }
+
+    /// Runs a statement of the entry's own and returns its messages; rows are
+    /// described first if `describe` is set.
+    fn run_local(
+        &mut self,
+        statement: &LocalStatement,
+        describe: bool,
+    ) -> Vec<PgWireBackendMessage> {
+        let complete =
+            |tag: &str| PgWireBackendMessage::CommandComplete(CommandComplete::new(tag.to_owned()));
+        match statement {
+            LocalStatement::Accept(tag) => vec![complete(tag)],
+            LocalStatement::Set(name, value) => match self.set(name, value) {
+                Ok(()) => vec![complete("SET")],
+                Err(report) => vec![report.to_message()],
+            },
+            LocalStatement::Show(name) => match self.show(name) {
+                Ok(value) => {
+                    let mut messages = Vec::new();
+                    if describe {
+                        messages.push(describe_text(name));
+                    }
+                    messages.push(text_row(&value));
+                    messages.push(complete("SHOW"));
+                    messages
+                }
+                Err(report) => vec![report.to_message()],
+            },
+        }
+    }
+
+    fn set(&mut self, name: &str, value: &str) -> Result<(), ErrorReport> {
+        let invalid = |text: String| ErrorReport::new(sqlstate::INVALID_PARAMETER, text);
+        match name {
+            "service" => self.identity.service = value.into(),
+            "place" => self.identity.place = value.into(),
+            "customer" => self.identity.customer = value.into(),
+            "position" => {
+                let position = value.parse::<SessionPosition>();
+                let position =
+                    position.map_err(|error| invalid(format!("fulmarrill.position: {error}")))?;
+                self.position.merge(&position);
+            }
+            "request_key" if value.is_empty() => self.key = None,
+            "request_key" => {
+                let kept = self.context.view.load().document.key_time_kept();
+                RequestKey::parse(value, SystemTime::now(), kept)
+                    .map_err(|error| invalid(format!("fulmarrill.request_key: {error}")))?;
+                self.key = Some(value.into());
+            }
+            _ => return Err(unknown_setting(name)),
+        }
+        Ok(())
+    }
+
+    fn show(&self, name: &str) -> Result<CompactString, ErrorReport> {
+        match name {
+            "service" => Ok(self.identity.service.clone()),
+            "place" => Ok(self.identity.place.clone()),
+            "customer" => Ok(self.identity.customer.clone()),
+            "position" => Ok(format_compact!("{}", self.position)),
+            "request_key" => Ok(self.key.clone().unwrap_or_default()),
+            "host" => Ok(self.context.settings.host.clone()),
+            _ => Err(unknown_setting(name)),
+        }
+    }
+
+    async fn answer_local_batch(&mut self, ready: bool) -> Result<(), PgError> {
+        let mut messages = Vec::new();
+        for message in self.batch.take_messages() {
+            match message {
+                PgWireFrontendMessage::Parse(_) => {
+                    messages.push(PgWireBackendMessage::ParseComplete(ParseComplete::new()));
+                }
+                PgWireFrontendMessage::Bind(_) => {
+                    messages.push(PgWireBackendMessage::BindComplete(BindComplete::new()));
+                }
+                PgWireFrontendMessage::Close(_) => {
+                    messages.push(PgWireBackendMessage::CloseComplete(CloseComplete::new()));
+                }
+                PgWireFrontendMessage::Describe(describe) => {
+                    let name = describe.name.unwrap_or_default();
+                    let of_statement = describe.target_type == TARGET_TYPE_BYTE_STATEMENT;
+                    if of_statement {
+                        let none = ParameterDescription::new(Vec::new());
+                        messages.push(PgWireBackendMessage::ParameterDescription(none));
+                    }
+                    let statement = if of_statement {
+                        self.batch.find_by_content(&name)
+                    } else {
+                        self.batch.find_portal(&name)
+                    };
+                    match statement.and_then(|statement| statement.local.as_ref()) {
+                        Some(LocalStatement::Show(name)) => messages.push(describe_text(name)),
+                        _ => messages.push(PgWireBackendMessage::NoData(NoData::new())),
+                    }
+                }
+                PgWireFrontendMessage::Execute(execute) => {
+                    let portal = execute.name.unwrap_or_default();
+                    let statement = self.batch.find_portal(&portal);
+                    let local = statement.and_then(|statement| statement.local.clone());
+                    if let Some(local) = local {
+                        messages.extend(self.run_local(&local, false));
+                    }
+                }
+                _ => {}
+            }
+        }
+        if ready {
+            messages.push(self.ready());
+        }
+        self.send(&messages).await
+    }
+
+    /// Runs a request that needs an instance, and answers it.
+    async fn run(&mut self, work: SessionWork, ready: bool) -> Result<(), PgError> {
+        if matches!(self.transaction, SessionTransaction::Failed) {
+            return self.answer_in_failed(&work).await;
+        }
+        let in_transaction = matches!(self.transaction, SessionTransaction::Open(_));
+        if let Some(report) = self.check_supported(&work, in_transaction) {
+            return self.answer_error(&report).await;
+        }
+        let view = self.context.view.load();
+        let policy = view
+            .document
+            .policy_for(&self.identity.service, &self.identity.place);
+        let request = self.make_request(&work, policy);
+        let started_at = Instant::now();
+        let routed = self.route(&work, &request).await;
+        let served = ServedWork {
+            rank: request.policy.rank,
+            read: work.class == StatementClass::Read,
+            by_replica: routed.by_replica,
+            time: started_at.elapsed(),
+        };
+        self.context.metrics.note(&served, &routed.answer);
+        self.record(&work, &request, &routed.answer).await;
+        self.answer(routed, ready).await
+    }
+
+    fn check_supported(&self, work: &SessionWork, in_transaction: bool) -> Option<ErrorReport> {
+        if work.class == StatementClass::Unsupported && !in_transaction {
+            let text = "the statement needs state that a shared connection does not keep";
+            return Some(ErrorReport::new(sqlstate::NOT_SUPPORTED, text));
+        }
+        let keyed = self.key.is_some();
+        if keyed && (in_transaction || work.class == StatementClass::Transaction) {
+            let text = "a request key covers one statement or batch, not a transaction block";
+            return Some(ErrorReport::new(sqlstate::NOT_SUPPORTED, text));
+        }
+        None
+    }
+
+    fn make_request(&mut self, work: &SessionWork, policy: RequestPolicy) -> EntryRequest {
+        let database = self.identity.database.clone();
+        let floor = self
+            .position
+            .contains(&database)
+            .then(|| self.position.floor(&database));
+        EntryRequest {
+            flow: format_compact!("{}/{}", self.identity.service, self.identity.customer),
+            customer: self.identity.customer.clone(),
+            key: self.key.take(),
+            floor,
+            deadline: Instant::now() + policy.time_allowed,
+            policy,
+            prepared: work.prepared.clone(),
+            payload: work.payload.clone(),
+            database,
+        }
+    }
+
+    async fn route(&self, work: &SessionWork, request: &EntryRequest) -> RoutedAnswer {
+        if let SessionTransaction::Open(place) = &self.transaction {
+            return run_step(&self.context, request, place).await;
+        }
+        let reads = work.class == StatementClass::Read && request.key.is_none();
+        if reads {
+            run_read(&self.context, request).await
+        } else {
+            run_write(&self.context, request, false).await
+        }
+    }
+
+    async fn record(&self, work: &SessionWork, request: &EntryRequest, answer: &WorkAnswer) {
+        let (outcome, sqlstate) = match answer {
+            WorkAnswer::Served { sqlstate, .. } => (RequestOutcome::Served, sqlstate.clone()),
+            WorkAnswer::NotRun { .. } => (RequestOutcome::NotRun, None),
+            WorkAnswer::Unknown { .. } => (RequestOutcome::Unknown, None),
+        };
+        let record = RequestRecord::new(
+            crate::records::now_ms(),
+            &self.identity.service,
+            &work.text,
+            outcome,
+        );
+        let record = record.with_key(request.key.clone()).with_sqlstate(sqlstate);
+        crate::records::keep(&self.context, &self.identity.customer, record).await;
+    }
+
+    async fn answer(&mut self, routed: RoutedAnswer, ready: bool) -> Result<(), PgError> {
+        match routed.answer {
+            WorkAnswer::Served {
+                payload,
+                status,
+                point,
+                ..
+            } => {
+                if !routed.by_replica || self.position.contains(&self.identity.database) {
+                    self.position.advance(&self.identity.database, point);
+                }
+                self.transaction = match routed.place {
+                    Some(place) if status != STATUS_IDLE => SessionTransaction::Open(place),
+                    None if status != STATUS_IDLE => SessionTransaction::Failed,
+                    _ => SessionTransaction::Idle,
+                };
+                self.send_answer(payload, ready).await
+            }
+            WorkAnswer::NotRun { reason, message } => {
+                self.fail_transaction();
+                self.answer_error(&not_run_report(reason, &message)).await
+            }
+            WorkAnswer::Unknown { message } => {
+                self.fail_transaction();
+                self.answer_error(&unknown_report(&message)).await
+            }
+        }
+    }
+
+    /// An error inside a transaction fails it, as in the database itself.
+    fn fail_transaction(&mut self) {
+        if matches!(self.transaction, SessionTransaction::Open(_)) {
+            self.end();
+            self.transaction = SessionTransaction::Failed;
+        }
+    }
+
+    /// Sends the database's answer, with the session's position before the
+    /// `ReadyForQuery` if it has moved.
+    async fn send_answer(&mut self, payload: Vec<u8>, ready: bool) -> Result<(), PgError> {
+        let split = payload.len().saturating_sub(READY_BYTES);
+        let (messages, end) = payload.split_at(split);
+        let mut bytes = BytesMut::from(messages);
+        let position = format_compact!("{}", self.position);
+        if position != self.position_told {
+            let status =
+                ParameterStatus::new("fulmarrill.position".to_owned(), position.to_string());
+            let status = PgWireBackendMessage::ParameterStatus(status);
+            bytes.extend_from_slice(&encode_backend(&[status])?);
+            self.position_told = position;
+        }
+        if ready {
+            bytes.extend_from_slice(end);
+        }
+        self.stream.write(&bytes).await
+    }
+
+    /// Answers while the transaction is failed: only its end is accepted.
+    async fn answer_in_failed(&mut self, work: &SessionWork) -> Result<(), PgError> {
+        if work.ends_transaction {
+            self.transaction = SessionTransaction::Idle;
+            let tag = CommandComplete::new("ROLLBACK".to_owned());
+            let mut messages = Vec::new();
+            if work.payload.first() != Some(&b'Q') {
+                messages.push(PgWireBackendMessage::ParseComplete(ParseComplete::new()));
+                messages.push(PgWireBackendMessage::BindComplete(BindComplete::new()));
+            }
+            messages.push(PgWireBackendMessage::CommandComplete(tag));
+            messages.push(self.ready());
+            return self.send(&messages).await;
+        }
+        let text = "current transaction is aborted, commands ignored until end of block";
+        self.answer_error(&ErrorReport::new(sqlstate::FAILED_TRANSACTION, text))
+            .await
+    }
+}
+
+fn unknown_setting(name: &str) -> ErrorReport {
+    let text = format!(
+        "unrecognized setting \"fulmarrill.{name}\"; there are service, place, customer, \
+         position, request_key and host"
+    );
+    ErrorReport::new("42704", text)
+}
+
+fn describe_text(name: &str) -> PgWireBackendMessage {
+    let field = FieldDescription::new(format!("fulmarrill.{name}"), 0, 0, TEXT_OID, -1, -1, 0);
+    PgWireBackendMessage::RowDescription(RowDescription::new(vec![field]))
+}
+
+fn text_row(value: &str) -> PgWireBackendMessage {
+    let mut data = BytesMut::new();
+    let length = i32::try_from(value.len()).unwrap_or(i32::MAX);
+    data.extend_from_slice(&length.to_be_bytes());
+    data.extend_from_slice(value.as_bytes());
+    PgWireBackendMessage::DataRow(DataRow::new(data, 1))
+}
--- /dev/null
+++ b/crates/host/src/error.rs
@@ -0,0 +1,24 @@
+//! Errors of a host's start.
+
+use std::io;
+
+use compact_str::CompactString;
+use thiserror::Error;
+
+/// Why a host cannot start.
+#[derive(Debug, Error)]
+pub enum HostError {
+    /// An address cannot be listened on.
+    #[error("{field}: cannot listen on {address}: {source}")]
+    Listen {
+        /// Field of the settings file.
+        field: &'static str,
+        /// Its value.
+        address: CompactString,
+        /// The socket's error.
+        source: io::Error,
+    },
+    /// The control thread cannot be started.
+    #[error("control thread cannot be started: {0}")]
+    Thread(io::Error),
+}
--- /dev/null
+++ b/crates/host/src/kernel.rs
@@ -0,0 +1,168 @@
+//! Starts and ends a host and its plug-ins.
+
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use fulmarrill_document::HostSettings;
+use fulmarrill_platform::PlatformClient;
+use smol::Timer;
+use smol::net::TcpListener;
+
+use crate::context::{HostAddresses, HostContext, HostListeners, SharedContext, make_run_name};
+use crate::control;
+use crate::entry::EntryState;
+use crate::error::HostError;
+use crate::life::HostLife;
+use crate::metrics::HostMetrics;
+use crate::owner::OwnerTable;
+use crate::peers::PeerPool;
+use crate::records::RecordKeeper;
+use crate::routes::AddressRoutes;
+use crate::view::ViewCell;
+
+/// Time that a leaving host gives its callers to go elsewhere.
+const LEAVE_TIME: Duration = Duration::from_secs(10);
+/// Time between two looks whether the last caller has gone.
+const LEAVE_CHECK: Duration = Duration::from_millis(20);
+
+/// A part of a host that registers itself with the kernel:
+///
+/// ```ignore
+/// inventory::submit! { HostPlugin::new("entry", start) }
+/// ```
+#[derive(Debug, Clone, Copy)]
+pub struct HostPlugin {
+    name: &'static str,
+    start: fn(SharedContext) -> Vec<smol::Task<()>>,
+}
+
+impl HostPlugin {
+    /// A plug-in and the function that starts its tasks.
+    #[must_use]
+    pub const fn new(name: &'static str, start: fn(SharedContext) -> Vec<smol::Task<()>>) -> Self {
+        Self { name, start }
+    }
+}
+
+inventory::collect!(HostPlugin);
+
+/// A running host. Dropping it ends all of its tasks at once, as a killed
+/// process would; [`HostProcess::leave`] ends it in order.
+#[derive(Debug)]
+pub struct HostProcess {
+    context: SharedContext,
+    tasks: Vec<smol::Task<()>>,
+    control_thread: Option<JoinHandle<()>>,
+}
+
+impl HostProcess {
+    /// Opens the listeners, then starts the control thread and every plug-in.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be listened on.
+    pub async fn start(settings: HostSettings) -> Result<Self, HostError> {
+        let caller = listen("caller_listen", &settings.caller_listen).await?;
+        let peer = listen("peer_listen", &settings.peer_listen).await?;
+        let operator = listen("operator_listen", &settings.operator_listen).await?;
+        let addresses = HostAddresses {
+            caller: address_of(&caller),
+            peer: address_of(&peer),
+            operator: address_of(&operator),
+        };
+        let listeners = HostListeners {
+            caller: Some(caller).into(),
+            peer: Some(peer).into(),
+            operator: Some(operator).into(),
+        };
+        let (control, events) = async_channel::unbounded();
+        let routes = AddressRoutes::new(settings.routes.clone());
+        let context = Arc::new(HostContext {
+            run_name: make_run_name(&settings.host),
+            platform: PlatformClient::new(&routes.route(&settings.platform)),
+            peers: PeerPool::new(&settings.host, routes.clone()),
+            routes,
+            records: RecordKeeper::new(),
+            settings,
+            addresses,
+            listeners,
+            view: ViewCell::new(),
+            control,
+            owners: OwnerTable::new(),
+            entry: EntryState::new(),
+            metrics: HostMetrics::new(),
+            life: HostLife::new(),
+        });
+        let control_thread = control::start_thread(context.clone(), events)?;
+        let mut tasks = Vec::new();
+        for plugin in inventory::iter::<HostPlugin> {
+            log::debug!("plug-in {} starts", plugin.name);
+            tasks.extend((plugin.start)(context.clone()));
+        }
+        Ok(Self {
+            context,
+            tasks,
+            control_thread: Some(control_thread),
+        })
+    }
+
+    /// Where the host listens.
+    #[must_use]
+    pub fn addresses(&self) -> &HostAddresses {
+        &self.context.addresses
+    }
+
+    /// The state shared by the plug-ins.
+    #[must_use]
+    pub fn context(&self) -> &SharedContext {
+        &self.context
+    }
+
+    /// Reaches `address` by way of `through` from now on.
+    pub fn add_route(&self, address: &str, through: &str) {
+        self.context.routes.add(address, through);
+    }
+
+    /// Leaves in order: tells everybody, finishes what is in flight, lets
+    /// callers go elsewhere until a deadline, and gives the records away.
+    pub async fn leave(self) {
+        let deadline = Instant::now() + LEAVE_TIME;
+        let context = &self.context;
+        context.life.leave();
+        crate::peers::announce_leaving(context).await;
+        crate::platform::announce(context).await.ok();
+        while context.entry.session_count() > 0 && Instant::now() < deadline {
+            Timer::after(LEAVE_CHECK).await;
+        }
+        context.life.wait_idle(deadline).await;
+        crate::records::flush_all(context).await;
+        log::info!("host {} has left", context.settings.host);
+    }
+}
+
+impl Drop for HostProcess {
+    fn drop(&mut self) {
+        self.tasks.clear();
+        self.context.control.close();
+        if let Some(thread) = self.control_thread.take() {
+            thread.join().ok();
+        }
+    }
+}
+
+async fn listen(field: &'static str, address: &str) -> Result<TcpListener, HostError> {
+    let failed = |source| HostError::Listen {
+        field,
+        address: address.into(),
+        source,
+    };
+    TcpListener::bind(address).await.map_err(failed)
+}
+
+fn address_of(listener: &TcpListener) -> compact_str::CompactString {
+    listener
+        .local_addr()
+        .map(|address| address.to_string().into())
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,43 @@
+//! One host: entry for callers and owner of instances in one process.
+//!
+//! ```no_run
+//! use fulmarrill_document::HostSettings;
+//! use fulmarrill_host::HostProcess;
+//!
+//! let settings = HostSettings::new("h1", "kosice-a", "vychod", "127.0.0.1:7000");
+//! let host = smol::block_on(HostProcess::start(settings)).unwrap();
+//! println!("callers connect to {}", host.addresses().caller);
+//! ```
+//!
+//! The kernel starts the plug-ins, each of which registers itself:
+//!
+//! - `entry` takes callers, finds the session's position, chooses the
+//!   instance and sends the request to that instance's owner;
+//! - `owner` has all connections to the instances that this host owns, with a
+//!   ranked queue before each one's slots;
+//! - `platform` watches the store, `peers` joins the hosts, `records` keeps
+//!   the customers' records, `console` serves operators.
+//!
+//! One thread holds the control state and publishes immutable views of it; the
+//! traffic threads route by the view that they find.
+
+mod console;
+mod context;
+mod control;
+mod entry;
+mod error;
+mod kernel;
+mod life;
+mod metrics;
+mod owner;
+mod peers;
+mod platform;
+mod records;
+mod routes;
+mod view;
+
+pub use crate::context::{HostAddresses, HostContext};
+pub use crate::error::HostError;
+pub use crate::kernel::{HostPlugin, HostProcess};
+pub use crate::metrics::ReadCounts;
+pub use crate::view::{ControlView, VersionedGroup};
--- /dev/null
+++ b/crates/host/src/owner/keyed.rs
@@ -0,0 +1,223 @@
+//! Requests with a key: the key's row commits in the request's transaction.
+//!
+//! Claim and request go out together. If the key is taken the claim fails, and
+//! with it everything after it in the transaction, so the request has no
+//! effect. While another attempt is open its row lock makes the claim wait.
+
+use std::time::{Instant, SystemTime};
+
+use bytes::BytesMut;
+use compact_str::{CompactString, format_compact};
+use fulmarrill_idempotency::{
+    ClaimDecision, RequestKey, StoredClaim, claim_sql, decide_claim, lookup_sql, request_hash,
+    store_sql,
+};
+use fulmarrill_peer::{NotRunReason, WorkAnswer};
+use fulmarrill_pg::{
+    DatabaseConnection, ExchangeAnswer, PgError, STATUS_FAILED, STATUS_IDLE, STATUS_TRANSACTION,
+    before,
+};
+
+use crate::owner::adapter::DatabaseAdapter;
+use crate::owner::instance::SlotGrant;
+use crate::owner::pool::PoolLease;
+use crate::owner::replies::fit_batch;
+use crate::owner::work::{CheckedAnswer, WorkContext, confirm_answer, terminate_suspect};
+
+/// SQLSTATE of a claim whose key is taken: `unique_violation`.
+const KEY_TAKEN: &str = "23505";
+
+/// How a keyed attempt ended at the database.
+enum KeyedResult {
+    /// The request ran, or failed and was rolled back.
+    Ran(CheckedAnswer),
+    /// The key was taken; its row says what happened.
+    Taken(Option<StoredClaim>, CheckedAnswer),
+    /// The claim failed for another reason; nothing ran.
+    ClaimFailed(CompactString),
+}
+
+/// Runs a request under its key, or gives the stored answer again.
+pub async fn run_keyed(work: &WorkContext, mut lease: PoolLease, slot: SlotGrant) -> WorkAnswer {
+    let text = work.request.key.as_deref().unwrap_or_default();
+    // The entry has checked the age; here only the form matters, since this
+    // host's clock may differ.
+    let key = match RequestKey::parse(text, SystemTime::now(), std::time::Duration::MAX / 4) {
+        Ok(key) => key,
+        Err(error) => {
+            lease.give_back();
+            let text = format_compact!("{error}");
+            return WorkAnswer::not_run(NotRunReason::KeyRefused, text);
+        }
+    };
+    let hash = request_hash(&work.request.payload);
+    match attempt(work, &mut lease, &key, &hash).await {
+        Err(error) => {
+            terminate_suspect(&work.owner, lease);
+            WorkAnswer::unknown(format_compact!("request got no answer: {error}"))
+        }
+        Ok(KeyedResult::ClaimFailed(why)) => {
+            lease.give_back();
+            WorkAnswer::not_run(NotRunReason::Unavailable, why)
+        }
+        Ok(KeyedResult::Ran(checked)) => {
+            lease.give_back();
+            drop(slot);
+            confirm_answer(work, checked, None).await
+        }
+        Ok(KeyedResult::Taken(stored, checked)) => {
+            lease.give_back();
+            drop(slot);
+            replay(work, stored.as_ref(), &hash, checked).await
+        }
+    }
+}
+
+async fn replay(
+    work: &WorkContext,
+    stored: Option<&StoredClaim>,
+    hash: &str,
+    mut checked: CheckedAnswer,
+) -> WorkAnswer {
+    match stored.map(|stored| decide_claim(Some(stored), hash)) {
+        Some(ClaimDecision::Replay(answer)) => {
+            checked.payload = BytesMut::from(&answer[..]);
+            checked.answer.error = None;
+            confirm_answer(work, checked, None).await
+        }
+        Some(ClaimDecision::Mismatch) => {
+            let text = "the request key belongs to another request";
+            WorkAnswer::not_run(NotRunReason::KeyMismatch, text)
+        }
+        Some(ClaimDecision::Void) => {
+            let text = "the request key was given up; the request did not run";
+            WorkAnswer::not_run(NotRunReason::KeyRefused, text)
+        }
+        Some(ClaimDecision::Run) | None => {
+            let text = "the request key was taken and is free again";
+            WorkAnswer::not_run(NotRunReason::Unavailable, text)
+        }
+    }
+}
+
+async fn attempt(
+    work: &WorkContext,
+    lease: &mut PoolLease,
+    key: &RequestKey,
+    hash: &str,
+) -> Result<KeyedResult, PgError> {
+    let request = &work.request;
+    let deadline = request.deadline;
+    let pooled = lease.pooled();
+    let batch = fit_batch(&request.prepared, &request.payload, &pooled.prepared);
+    let claim = claim_sql(key, &request.customer, hash);
+    let mut bytes = DatabaseConnection::query_bytes(&claim)?;
+    bytes.extend_from_slice(&batch.bytes);
+    let connection = &mut pooled.connection;
+    before(deadline, connection.send(&bytes, 2)).await??;
+    let claimed = before(deadline, connection.read_answer()).await??;
+    let answer = before(deadline, connection.read_answer()).await??;
+    let completed = answer
+        .split()
+        .iter()
+        .filter(|message| message[0] == b'1')
+        .count();
+    for name in batch.added().iter().take(completed) {
+        pooled.prepared.insert(name.clone());
+    }
+    let connection = &mut pooled.connection;
+    if let Some(report) = &claimed.error {
+        let taken = report.code == KEY_TAKEN;
+        let why = format_compact!("request key could not be claimed: {}", report.message);
+        let (stored, checked) = read_claim(connection, key, answer, deadline).await?;
+        if taken {
+            return Ok(KeyedResult::Taken(stored, checked));
+        }
+        return Ok(KeyedResult::ClaimFailed(why));
+    }
+    let mut payload = batch.restore(&answer.messages);
+    set_status(&mut payload, STATUS_IDLE);
+    if answer.status != STATUS_TRANSACTION {
+        let checked = roll_back(connection, answer, payload, deadline).await?;
+        return Ok(KeyedResult::Ran(checked));
+    }
+    let checked = store(connection, key, answer, payload, deadline).await?;
+    Ok(KeyedResult::Ran(checked))
+}
+
+/// Stores the answer in the key's row, commits, and asks for the status.
+async fn store(
+    connection: &mut DatabaseConnection,
+    key: &RequestKey,
+    mut answer: ExchangeAnswer,
+    mut payload: BytesMut,
+    deadline: Instant,
+) -> Result<CheckedAnswer, PgError> {
+    let mut bytes = DatabaseConnection::query_bytes(&store_sql(key, &payload))?;
+    bytes.extend_from_slice(&DatabaseConnection::query_bytes(DatabaseAdapter::STATUS)?);
+    before(deadline, connection.send(&bytes, 2)).await??;
+    let mut stored = before(deadline, connection.read_answer()).await??;
+    if stored.status == STATUS_FAILED {
+        // The status question failed with the transaction; end it.
+        before(deadline, connection.read_answer()).await??;
+        return roll_back(connection, stored.clone(), stored.messages, deadline).await;
+    }
+    let status = before(deadline, connection.read_answer()).await??;
+    let status = DatabaseAdapter::read_status(&status)?;
+    if stored.error.is_some() {
+        // The commit was refused: the caller gets that error.
+        payload = stored.messages.split();
+    }
+    answer.error = stored.error;
+    answer.status = STATUS_IDLE;
+    Ok(CheckedAnswer {
+        payload,
+        answer,
+        status,
+    })
+}
+
+/// Rolls back after the request failed; the caller gets the request's error.
+async fn roll_back(
+    connection: &mut DatabaseConnection,
+    mut answer: ExchangeAnswer,
+    mut payload: BytesMut,
+    deadline: Instant,
+) -> Result<CheckedAnswer, PgError> {
+    let mut bytes = DatabaseConnection::query_bytes("ROLLBACK")?;
+    bytes.extend_from_slice(&DatabaseConnection::query_bytes(DatabaseAdapter::STATUS)?);
+    before(deadline, connection.send(&bytes, 2)).await??;
+    before(deadline, connection.read_answer()).await??;
+    let status = before(deadline, connection.read_answer()).await??;
+    let status = DatabaseAdapter::read_status(&status)?;
+    set_status(&mut payload, STATUS_IDLE);
+    answer.status = STATUS_IDLE;
+    Ok(CheckedAnswer {
+        payload,
+        answer,
+        status,
+    })
+}
+
+/// Ends the failed claim and reads what the key's row says.
+async fn read_claim(
+    connection: &mut DatabaseConnection,
+    key: &RequestKey,
+    answer: ExchangeAnswer,
+    deadline: Instant,
+) -> Result<(Option<StoredClaim>, CheckedAnswer), PgError> {
+    let checked = roll_back(connection, answer, BytesMut::new(), deadline).await?;
+    let rows = connection.query(&lookup_sql(key), deadline).await?;
+    let stored = rows
+        .first()
+        .map(|row| StoredClaim::from_columns(row.text(0).unwrap_or_default(), row.text(1)));
+    Ok((stored, checked))
+}
+
+/// Sets the transaction status in the `ReadyForQuery` that ends an answer:
+/// the transaction around the request is not the caller's.
+fn set_status(payload: &mut BytesMut, status: u8) {
+    if let Some(last) = payload.last_mut() {
+        *last = status;
+    }
+}
--- /dev/null
+++ b/crates/host/src/view.rs
@@ -0,0 +1,120 @@
+//! The immutable view of control state by which traffic is routed.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use event_listener::{Event, EventListener};
+use fulmarrill_document::OperatorDocument;
+use fulmarrill_ownership::{HostEntry, HostTable};
+use fulmarrill_peer::ControlVersions;
+use fulmarrill_pg::before;
+use fulmarrill_position::DatabaseName;
+use fulmarrill_replication::{DatabaseGroup, GroupInstance};
+
+/// A group with its version in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VersionedGroup {
+    /// Version in the store.
+    pub version: u64,
+    /// The group.
+    pub group: DatabaseGroup,
+}
+
+/// Everything that traffic needs to know, as of one moment.
+#[derive(Debug, Clone)]
+pub struct ControlView {
+    /// Versions in force.
+    pub versions: ControlVersions,
+    /// The operators' document.
+    pub document: Arc<OperatorDocument>,
+    /// Its text.
+    pub document_text: Arc<str>,
+    /// Database groups.
+    pub groups: BTreeMap<DatabaseName, Arc<VersionedGroup>>,
+    /// The platform's list of hosts.
+    pub listed_hosts: Arc<Vec<HostEntry>>,
+    /// Hosts that are listed and answer this one.
+    pub hosts: HostTable,
+}
+
+impl ControlView {
+    /// The view of a host that knows nothing yet.
+    #[must_use]
+    pub fn initial() -> Self {
+        Self {
+            versions: ControlVersions::default(),
+            document: Arc::new(OperatorDocument::initial()),
+            document_text: Arc::from(""),
+            groups: BTreeMap::new(),
+            listed_hosts: Arc::default(),
+            hosts: HostTable::new(),
+        }
+    }
+
+    /// The group of a database.
+    #[must_use]
+    pub fn group(&self, database: &str) -> Option<&Arc<VersionedGroup>> {
+        self.groups.get(database)
+    }
+
+    /// The host that owns an instance.
+    #[must_use]
+    pub fn owner_of(&self, instance: &GroupInstance) -> Option<&HostEntry> {
+        self.hosts
+            .owner_of(&instance.name, &instance.data_centre, &instance.region)
+    }
+
+    /// Finds an instance and its group by the instance's name.
+    #[must_use]
+    pub fn find_instance(&self, name: &str) -> Option<(&Arc<VersionedGroup>, &GroupInstance)> {
+        for group in self.groups.values() {
+            if let Some(instance) = group.group.instance(name) {
+                return Some((group, instance));
+            }
+        }
+        None
+    }
+}
+
+/// The cell in which the control thread publishes views.
+#[derive(Debug)]
+pub struct ViewCell {
+    view: ArcSwap<ControlView>,
+    changed: Event,
+}
+
+impl ViewCell {
+    /// A cell with the initial view.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            view: ArcSwap::from_pointee(ControlView::initial()),
+            changed: Event::new(),
+        }
+    }
+
+    /// The view in force.
+    #[must_use]
+    pub fn load(&self) -> Arc<ControlView> {
+        self.view.load_full()
+    }
+
+    /// Puts a new view in force.
+    pub fn publish(&self, view: ControlView) {
+        self.view.store(Arc::new(view));
+        self.changed.notify(usize::MAX);
+    }
+
+    /// A listener for the next view.
+    #[must_use]
+    pub fn listen(&self) -> EventListener {
+        self.changed.listen()
+    }
+
+    /// Waits for a view published after `listener` was made, or the deadline.
+    pub async fn wait(&self, listener: EventListener, deadline: Instant) {
+        before(deadline, listener).await.ok();
+    }
+}
--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,137 @@
+//! Sends requests, each with a deadline.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Instant;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures_lite::FutureExt;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{Method, Request};
+use smol::Timer;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+use thiserror::Error;
+
+use crate::server::HttpAnswer;
+
+/// Why a request got no answer.
+///
+/// After any of these but [`HttpError::Connect`] the request may have been
+/// carried out all the same.
+#[derive(Debug, Error)]
+pub enum HttpError {
+    /// The server could not be reached; nothing was sent.
+    #[error("{address}: cannot connect: {source}")]
+    Connect {
+        /// Address of the server.
+        address: CompactString,
+        /// The socket's error.
+        source: io::Error,
+    },
+    /// The connection failed before the whole answer had come.
+    #[error("{0}: connection failed: {1}")]
+    Connection(CompactString, hyper::Error),
+    /// Nothing came before the deadline.
+    #[error("{0}: no answer before the deadline")]
+    Silent(CompactString),
+    /// The request could not be expressed.
+    #[error("request cannot be sent: {0}")]
+    Request(#[from] hyper::http::Error),
+}
+
+/// A client of one server. It keeps one idle connection for the next request.
+#[derive(Debug)]
+pub struct HttpClient {
+    address: CompactString,
+    idle: Mutex<Option<SendRequest<Full<Bytes>>>>,
+}
+
+impl HttpClient {
+    /// A client of the server at `address`, `IP:PORT`.
+    #[must_use]
+    pub fn new(address: &str) -> Self {
+        Self {
+            address: address.into(),
+            idle: Mutex::new(None),
+        }
+    }
+
+    /// The server's address.
+    #[must_use]
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Sends one request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// When no whole answer came before `deadline`.
+    pub async fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        deadline: Instant,
+    ) -> Result<HttpAnswer, HttpError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, self.address.as_str())
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))?;
+        let timeout = async {
+            Timer::at(deadline).await;
+            Err(HttpError::Silent(self.address.clone()))
+        };
+        self.exchange(request).or(timeout).await
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<HttpAnswer, HttpError> {
+        let mut sender = self.take_or_connect().await?;
+        let failed = |error| HttpError::Connection(self.address.clone(), error);
+        let response = sender.send_request(request).await.map_err(failed)?;
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await.map_err(failed)?;
+        self.put_back(sender);
+        Ok(HttpAnswer::json(status, body.to_bytes().to_vec()))
+    }
+
+    async fn take_or_connect(&self) -> Result<SendRequest<Full<Bytes>>, HttpError> {
+        let idle = self.idle.lock().ok().and_then(|mut idle| idle.take());
+        if let Some(mut sender) = idle
+            && sender.ready().await.is_ok()
+        {
+            return Ok(sender);
+        }
+        let failed = |source| HttpError::Connect {
+            address: self.address.clone(),
+            source,
+        };
+        let address: SocketAddr = self
+            .address
+            .parse()
+            .map_err(|error| failed(io::Error::other(error)))?;
+        let stream = TcpStream::connect(address).await.map_err(failed)?;
+        stream.set_nodelay(true).ok();
+        let (sender, connection) = handshake(FuturesIo::new(stream))
+            .await
+            .map_err(|error| HttpError::Connection(self.address.clone(), error))?;
+        fulmarrill_runtime::spawn(async move {
+            connection.await.ok();
+        })
+        .detach();
+        Ok(sender)
+    }
+
+    fn put_back(&self, sender: SendRequest<Full<Bytes>>) {
+        if let Ok(mut idle) = self.idle.lock() {
+            *idle = Some(sender);
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,156 @@
+//! Serves requests with one closure.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+/// Largest request body accepted, in bytes.
+const BODY_BYTES_MAX: usize = 4 << 20;
+
+/// A request with its whole body.
+#[derive(Debug, Clone)]
+pub struct HttpRequest {
+    /// Method.
+    pub method: Method,
+    /// Path without the query, `/v1/hosts`.
+    pub path: CompactString,
+    /// Query without the question mark.
+    pub query: CompactString,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl HttpRequest {
+    /// The value of a query parameter, as it stands.
+    #[must_use]
+    pub fn parameter(&self, name: &str) -> Option<&str> {
+        for pair in self.query.split('&') {
+            if let Some((key, value)) = pair.split_once('=')
+                && key == name
+            {
+                return Some(value);
+            }
+        }
+        None
+    }
+}
+
+/// An answer with its whole body.
+#[derive(Debug, Clone)]
+pub struct HttpAnswer {
+    /// Status code.
+    pub status: u16,
+    /// Value of `Content-Type`.
+    pub content_type: &'static str,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl HttpAnswer {
+    /// An answer of plain text.
+    #[must_use]
+    pub fn text(status: u16, body: impl Into<Vec<u8>>) -> Self {
+        Self {
+            status,
+            content_type: "text/plain; charset=utf-8",
+            body: body.into(),
+        }
+    }
+
+    /// An answer of JSON that is already serialized.
+    #[must_use]
+    pub fn json(status: u16, body: impl Into<Vec<u8>>) -> Self {
+        Self {
+            status,
+            content_type: "application/json",
+            body: body.into(),
+        }
+    }
+
+    /// An HTML page.
+    #[must_use]
+    pub fn html(status: u16, body: impl Into<Vec<u8>>) -> Self {
+        Self {
+            status,
+            content_type: "text/html; charset=utf-8",
+            body: body.into(),
+        }
+    }
+}
+
+/// Serves every connection of `listener` until the task is dropped.
+pub async fn serve_http<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(HttpRequest) -> F + Send + Sync + 'static,
+    F: Future<Output = HttpAnswer> + Send + 'static,
+{
+    let handler = Arc::new(handler);
+    let executor = smol::Executor::new();
+    executor
+        .run(async {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    continue;
+                };
+                executor
+                    .spawn(serve_connection(stream, handler.clone()))
+                    .detach();
+            }
+        })
+        .await;
+}
+
+async fn serve_connection<H, F>(stream: TcpStream, handler: Arc<H>)
+where
+    H: Fn(HttpRequest) -> F + Send + Sync + 'static,
+    F: Future<Output = HttpAnswer> + Send + 'static,
+{
+    stream.set_nodelay(true).ok();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(answer_request(request, &*handler).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .serve_connection(FuturesIo::new(stream), service);
+    if let Err(error) = connection.await {
+        log::debug!("HTTP connection ended: {error}");
+    }
+}
+
+async fn answer_request<H, F>(request: Request<Incoming>, handler: &H) -> Response<Full<Bytes>>
+where
+    H: Fn(HttpRequest) -> F,
+    F: Future<Output = HttpAnswer>,
+{
+    let (parts, body) = request.into_parts();
+    let answer = match Limited::new(body, BODY_BYTES_MAX).collect().await {
+        Err(error) => HttpAnswer::text(413, format!("request body not accepted: {error}\n")),
+        Ok(body) => {
+            let request = HttpRequest {
+                method: parts.method,
+                path: parts.uri.path().into(),
+                query: parts.uri.query().unwrap_or_default().into(),
+                body: body.to_bytes().to_vec(),
+            };
+            handler(request).await
+        }
+    };
+    let mut response = Response::new(Full::new(Bytes::from(answer.body)));
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let content_type = HeaderValue::from_static(answer.content_type);
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
--- /dev/null
+++ b/crates/idempotency/src/recovery.rs
@@ -0,0 +1,56 @@
+//! What to do after an attempt that brought no answer.
+
+use std::time::Instant;
+
+/// How far an attempt is known to have come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptResult {
+    /// It was refused, or failed, before anything reached a database.
+    NotRun,
+    /// It may have run: it was sent and no answer came.
+    Unknown,
+}
+
+/// What follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RecoveryDecision {
+    /// Send the request again.
+    Retry,
+    /// Tell the caller that it did not run.
+    ReportNotRun,
+    /// Claim the key without work; if that commits, the request cannot run.
+    ClaimVoid,
+    /// Tell the caller that the outcome is unknown.
+    ReportUnknown,
+}
+
+/// Whether a request may be sent a second time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RepeatSafety {
+    /// It changes nothing.
+    Read,
+    /// It has a key, so that it runs at most once however often it is sent.
+    Keyed,
+    /// Sent twice it may run twice.
+    Unsafe,
+}
+
+/// Decides by what is known. `retry_allowed` is the word of the retry budget.
+#[must_use]
+pub fn decide_recovery(
+    result: AttemptResult,
+    safety: RepeatSafety,
+    retry_allowed: bool,
+    now: Instant,
+    deadline: Instant,
+) -> RecoveryDecision {
+    let time_left = now < deadline;
+    match (result, safety) {
+        (AttemptResult::NotRun, _) if time_left && retry_allowed => RecoveryDecision::Retry,
+        (AttemptResult::NotRun, _) => RecoveryDecision::ReportNotRun,
+        (AttemptResult::Unknown, RepeatSafety::Unsafe) => RecoveryDecision::ReportUnknown,
+        (AttemptResult::Unknown, _) if time_left && retry_allowed => RecoveryDecision::Retry,
+        (AttemptResult::Unknown, RepeatSafety::Keyed) => RecoveryDecision::ClaimVoid,
+        (AttemptResult::Unknown, RepeatSafety::Read) => RecoveryDecision::ReportUnknown,
+    }
+}
--- /dev/null
+++ b/crates/load/src/ledger.rs
@@ -0,0 +1,98 @@
+//! What callers were told about each write, and whether it was true.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use compact_str::CompactString;
+use thiserror::Error;
+
+/// What a caller was told about a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WriteFate {
+    Acknowledged,
+    NotRun,
+    Unknown,
+}
+
+/// Something that a caller was told and that is not true.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum LedgerFault {
+    /// An acknowledged write is not in the database.
+    #[error("write {0} was acknowledged and is lost")]
+    Lost(CompactString),
+    /// A write is in the database more than once.
+    #[error("write {0} is in the database {1} times")]
+    Doubled(CompactString, usize),
+    /// A write that was said not to have run is in the database.
+    #[error("write {0} was said not to have run and is in the database")]
+    RanAfterAll(CompactString),
+}
+
+/// The writes of a run.
+#[derive(Debug, Default)]
+pub struct WriteLedger {
+    fates: Mutex<BTreeMap<CompactString, WriteFate>>,
+}
+
+impl WriteLedger {
+    /// An empty ledger.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<CompactString, WriteFate>> {
+        self.fates.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes an acknowledgement.
+    pub fn acknowledge(&self, id: &str) {
+        self.lock().insert(id.into(), WriteFate::Acknowledged);
+    }
+
+    /// Notes a refusal.
+    pub fn refuse(&self, id: &str) {
+        self.lock().insert(id.into(), WriteFate::NotRun);
+    }
+
+    /// Notes that nothing is known.
+    pub fn leave_open(&self, id: &str) {
+        self.lock().insert(id.into(), WriteFate::Unknown);
+    }
+
+    /// Number of acknowledged writes.
+    #[must_use]
+    pub fn acknowledged(&self) -> usize {
+        self.lock()
+            .values()
+            .filter(|fate| **fate == WriteFate::Acknowledged)
+            .count()
+    }
+
+    /// Compares with the ids that the database holds, each as often as it
+    /// stands there.
+    #[must_use]
+    pub fn compare(&self, held: &[CompactString]) -> Vec<LedgerFault> {
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        for id in held {
+            *counts.entry(id).or_default() += 1;
+        }
+        let mut faults = Vec::new();
+        for (id, fate) in self.lock().iter() {
+            let count = counts.get(id.as_str()).copied().unwrap_or(0);
+            if count > 1 {
+                faults.push(LedgerFault::Doubled(id.clone(), count));
+            }
+            match fate {
+                WriteFate::Acknowledged if count == 0 => {
+                    faults.push(LedgerFault::Lost(id.clone()));
+                }
+                WriteFate::NotRun if count > 0 => {
+                    faults.push(LedgerFault::RanAfterAll(id.clone()));
+                }
+                _ => {}
+            }
+        }
+        faults
+    }
+}
--- /dev/null
+++ b/crates/load/src/report.rs
@@ -0,0 +1,176 @@
+//! What a run measured.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+
+use crate::caller::RequestEnd;
+
+/// Digits kept by histograms.
+const DIGITS: u8 = 3;
+/// Longest time that is told apart, in microseconds.
+const TIME_US_MAX: u64 = 60_000_000;
+
+/// Times and outcomes of one stream of requests.
+#[derive(Debug, Clone)]
+pub struct StreamReport {
+    /// Requests answered.
+    pub served: u64,
+    /// Of these, answered inside the time allowed.
+    pub in_time: u64,
+    /// Requests refused as not run.
+    pub not_run: u64,
+    /// Requests whose outcome is unknown.
+    pub unknown: u64,
+    /// Requests that the database answered with an error.
+    pub failed: u64,
+    /// Reads that did not see what their session had written.
+    pub stale: u64,
+    /// Times of served requests, in microseconds from the arrival.
+    pub times: Histogram<u64>,
+    /// Messages of refusals, with their counts.
+    pub messages: BTreeMap<CompactString, u64>,
+}
+
+impl Default for StreamReport {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl StreamReport {
+    /// A report of nothing.
+    ///
+    /// # Panics
+    ///
+    /// Never: the bounds of the histogram are valid.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            served: 0,
+            in_time: 0,
+            not_run: 0,
+            unknown: 0,
+            failed: 0,
+            stale: 0,
+            times: Histogram::new_with_bounds(1, TIME_US_MAX, DIGITS).expect("valid bounds"),
+            messages: BTreeMap::new(),
+        }
+    }
+
+    /// Notes how a request ended.
+    pub fn note(&mut self, end: &RequestEnd, time: Duration, time_allowed: Duration) {
+        match end {
+            RequestEnd::Served(_) => {
+                self.served += 1;
+                self.in_time += u64::from(time <= time_allowed);
+                let time_us = u64::try_from(time.as_micros()).unwrap_or(TIME_US_MAX);
+                self.times.saturating_record(time_us);
+            }
+            RequestEnd::NotRun(message) => {
+                self.not_run += 1;
+                *self.messages.entry(message.clone()).or_default() += 1;
+            }
+            RequestEnd::Unknown(message) => {
+                self.unknown += 1;
+                *self.messages.entry(message.clone()).or_default() += 1;
+            }
+            RequestEnd::Failed(message) => {
+                self.failed += 1;
+                *self.messages.entry(message.clone()).or_default() += 1;
+            }
+        }
+    }
+
+    /// Number of requests.
+    #[must_use]
+    pub fn offered(&self) -> u64 {
+        self.served + self.not_run + self.unknown + self.failed
+    }
+
+    /// A quantile of the times of served requests, in milliseconds.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn time_ms(&self, quantile: f64) -> f64 {
+        self.times.value_at_quantile(quantile) as f64 / 1000.0
+    }
+}
+
+/// What a whole run measured.
+#[derive(Debug, Clone, Default)]
+pub struct LoadReport {
+    /// Streams by their names.
+    pub streams: BTreeMap<CompactString, StreamReport>,
+    /// Longest time between two acknowledged writes.
+    pub write_gap: Duration,
+    /// Acknowledged writes.
+    pub acknowledged: usize,
+}
+
+impl LoadReport {
+    /// One row per stream.
+    #[must_use]
+    pub fn show_table(&self) -> String {
+        let mut text = String::new();
+        let _ = writeln!(
+            text,
+            "{:<16}{:>9}{:>9}{:>9}{:>9}{:>9}{:>8}{:>10}{:>10}",
+            "service",
+            "offered",
+            "served",
+            "not run",
+            "unknown",
+            "failed",
+            "stale",
+            "p50 ms",
+            "p99 ms"
+        );
+        for (name, stream) in &self.streams {
+            let _ = writeln!(
+                text,
+                "{:<16}{:>9}{:>9}{:>9}{:>9}{:>9}{:>8}{:>10.1}{:>10.1}",
+                name,
+                stream.offered(),
+                stream.served,
+                stream.not_run,
+                stream.unknown,
+                stream.failed,
+                stream.stale,
+                stream.time_ms(0.5),
+                stream.time_ms(0.99)
+            );
+        }
+        text
+    }
+
+    /// The same as JSON.
+    #[must_use]
+    pub fn to_json(&self) -> Value {
+        let mut streams = serde_json::Map::new();
+        for (name, stream) in &self.streams {
+            let value = json!({
+                "offered": stream.offered(),
+                "served": stream.served,
+                "in_time": stream.in_time,
+                "not_run": stream.not_run,
+                "unknown": stream.unknown,
+                "failed": stream.failed,
+                "stale": stream.stale,
+                "p50_ms": stream.time_ms(0.5),
+                "p99_ms": stream.time_ms(0.99),
+                "max_ms": stream.time_ms(1.0),
+                "messages": stream.messages,
+            });
+            streams.insert(name.to_string(), value);
+        }
+        json!({
+            "streams": streams,
+            "write_gap_ms": self.write_gap.as_secs_f64() * 1000.0,
+            "acknowledged": self.acknowledged,
+        })
+    }
+}
--- /dev/null
+++ b/crates/load/src/run.rs
@@ -0,0 +1,302 @@
+//! Runs streams of requests against callers' ports.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime};
+
+use compact_str::{CompactString, format_compact};
+use smol::Timer;
+
+use crate::arrivals::draw_arrivals;
+use crate::caller::{CallerPool, RequestEnd};
+use crate::ledger::WriteLedger;
+use crate::report::LoadReport;
+
+/// Time after its deadline at which a caller stops waiting.
+const PATIENCE: Duration = Duration::from_secs(4);
+/// Badges that requests are spread over.
+const BADGES: u64 = 200;
+
+/// What the requests of a stream do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadKind {
+    /// A read of one row.
+    Read,
+    /// A read that keeps a slot for 20 ms more, as a report does.
+    SlowRead,
+    /// A write with a request key.
+    KeyedWrite,
+    /// A write without a request key.
+    PlainWrite,
+    /// A keyed write, then a read of it by another host with the position.
+    WriteThenRead,
+    /// A transaction of two statements.
+    Transaction,
+}
+
+/// A stream of requests of one service.
+#[derive(Debug, Clone)]
+pub struct LoadStream {
+    service: CompactString,
+    customer: CompactString,
+    kind: LoadKind,
+    rate: f64,
+    time_allowed: Duration,
+}
+
+impl LoadStream {
+    /// A stream of `rate` requests a second for the customer `city`.
+    #[must_use]
+    pub fn new(service: &str, kind: LoadKind, rate: f64) -> Self {
+        Self {
+            service: service.into(),
+            customer: "city".into(),
+            kind,
+            rate,
+            time_allowed: Duration::from_secs(4),
+        }
+    }
+
+    /// Sets the customer.
+    #[must_use]
+    pub fn with_customer(mut self, customer: &str) -> Self {
+        self.customer = customer.into();
+        self
+    }
+
+    /// Sets the time within which an answer counts as in time.
+    #[must_use]
+    pub fn with_time_allowed(mut self, time: Duration) -> Self {
+        self.time_allowed = time;
+        self
+    }
+}
+
+/// A whole run.
+#[derive(Debug, Clone)]
+pub struct LoadPlan {
+    database: CompactString,
+    addresses: Vec<CompactString>,
+    seed: u64,
+    time: Duration,
+    streams: Vec<LoadStream>,
+    ledger: Arc<WriteLedger>,
+}
+
+impl LoadPlan {
+    /// A plan without streams, for one second.
+    #[must_use]
+    pub fn new(database: &str, addresses: Vec<CompactString>, seed: u64) -> Self {
+        Self {
+            database: database.into(),
+            addresses,
+            seed,
+            time: Duration::from_secs(1),
+            streams: Vec::new(),
+            ledger: Arc::new(WriteLedger::new()),
+        }
+    }
+
+    /// Sets how long requests arrive.
+    #[must_use]
+    pub fn with_time(mut self, time: Duration) -> Self {
+        self.time = time;
+        self
+    }
+
+    /// Adds a stream.
+    #[must_use]
+    pub fn with_stream(mut self, stream: LoadStream) -> Self {
+        self.streams.push(stream);
+        self
+    }
+
+    /// The ledger of the run's writes.
+    #[must_use]
+    pub fn ledger(&self) -> Arc<WriteLedger> {
+        self.ledger.clone()
+    }
+}
+
+/// What the requests of a run share.
+#[derive(Debug)]
+struct RunState {
+    plan: LoadPlan,
+    report: Mutex<LoadReport>,
+    acknowledged_at: Mutex<Option<Instant>>,
+}
+
+impl RunState {
+    fn note(&self, stream: &LoadStream, end: &RequestEnd, time: Duration, stale: bool) {
+        let mut report = self.report.lock().unwrap_or_else(PoisonError::into_inner);
+        let entry = report.streams.entry(stream.service.clone()).or_default();
+        entry.note(end, time, stream.time_allowed);
+        entry.stale += u64::from(stale);
+    }
+
+    /// Notes an acknowledged write, for the longest gap between two.
+    fn note_acknowledged(&self) {
+        let now = Instant::now();
+        let last = {
+            let mut held = self
+                .acknowledged_at
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            held.replace(now)
+        };
+        if let Some(last) = last {
+            let gap = now.saturating_duration_since(last);
+            let mut report = self.report.lock().unwrap_or_else(PoisonError::into_inner);
+            report.write_gap = report.write_gap.max(gap);
+        }
+    }
+}
+
+/// Runs all streams of a plan at once and waits for their last answers.
+pub async fn run_load(plan: &LoadPlan) -> LoadReport {
+    let state = Arc::new(RunState {
+        plan: plan.clone(),
+        report: Mutex::default(),
+        acknowledged_at: Mutex::default(),
+    });
+    let started_at = Instant::now();
+    let mut tasks = Vec::new();
+    for (index, stream) in plan.streams.iter().enumerate() {
+        let (state, stream) = (state.clone(), stream.clone());
+        tasks.push(fulmarrill_runtime::spawn(run_stream(
+            state,
+            stream,
+            index as u64,
+            started_at,
+        )));
+    }
+    for task in tasks {
+        task.await;
+    }
+    let mut report = state
+        .report
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
+    report.acknowledged = plan.ledger.acknowledged();
+    report
+}
+
+async fn run_stream(state: Arc<RunState>, stream: LoadStream, index: u64, started_at: Instant) {
+    let plan = &state.plan;
+    let pool = CallerPool::new(
+        &plan.addresses,
+        &plan.database,
+        &stream.service,
+        &stream.customer,
+    );
+    let arrivals = draw_arrivals(stream.rate, plan.time, plan.seed.wrapping_add(index));
+    let mut tasks = Vec::new();
+    for (number, arrival) in arrivals.into_iter().enumerate() {
+        let arrival_at = started_at + arrival;
+        Timer::at(arrival_at).await;
+        let request = StreamRequest {
+            state: state.clone(),
+            stream: stream.clone(),
+            pool: pool.clone(),
+            id: format_compact!("{}-{}-{number}", plan.seed, stream.service),
+            number: number as u64,
+            arrival_at,
+        };
+        tasks.push(fulmarrill_runtime::spawn(request.run()));
+    }
+    for task in tasks {
+        task.await;
+    }
+}
+
+/// One request of a stream.
+struct StreamRequest {
+    state: Arc<RunState>,
+    stream: LoadStream,
+    pool: Arc<CallerPool>,
+    id: CompactString,
+    number: u64,
+    arrival_at: Instant,
+}
+
+impl StreamRequest {
+    async fn run(self) {
+        let badge = self.number % BADGES;
+        let insert = format_compact!(
+            "INSERT INTO renewals (id, badge) VALUES ('{}', {badge})",
+            self.id
+        );
+        let statements = match self.stream.kind {
+            LoadKind::Read => vec![read_statement(badge, false)],
+            LoadKind::SlowRead => vec![read_statement(badge, true)],
+            LoadKind::PlainWrite => vec![insert],
+            LoadKind::KeyedWrite => vec![self.key_statement(), insert],
+            LoadKind::WriteThenRead => {
+                vec![
+                    self.key_statement(),
+                    insert,
+                    "SHOW fulmarrill.position".into(),
+                ]
+            }
+            LoadKind::Transaction => vec!["BEGIN".into(), insert, "COMMIT".into()],
+        };
+        let deadline = self.arrival_at + self.stream.time_allowed + PATIENCE;
+        let end = self.pool.run(&statements, None, deadline).await;
+        let time = self.arrival_at.elapsed();
+        self.note_write(&end);
+        let stale = self.reads_stale(&end, deadline).await;
+        self.state.note(&self.stream, &end, time, stale);
+    }
+
+    fn key_statement(&self) -> CompactString {
+        let age = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
+        format_compact!(
+            "SET fulmarrill.request_key = '{}-{}'",
+            age.as_millis(),
+            self.id
+        )
+    }
+
+    fn writes(&self) -> bool {
+        !matches!(self.stream.kind, LoadKind::Read | LoadKind::SlowRead)
+    }
+
+    fn note_write(&self, end: &RequestEnd) {
+        if !self.writes() {
+            return;
+        }
+        let ledger = &self.state.plan.ledger;
+        match end {
+            RequestEnd::Served(_) => {
+                ledger.acknowledge(&self.id);
+                self.state.note_acknowledged();
+            }
+            RequestEnd::NotRun(_) | RequestEnd::Failed(_) => ledger.refuse(&self.id),
+            RequestEnd::Unknown(_) => ledger.leave_open(&self.id),
+        }
+    }
+
+    /// Reads at another host, with the session's position, what was written.
+    async fn reads_stale(&self, end: &RequestEnd, deadline: Instant) -> bool {
+        let (LoadKind::WriteThenRead, RequestEnd::Served(column)) = (self.stream.kind, end) else {
+            return false;
+        };
+        let position = column.first().and_then(Option::as_deref);
+        let read = format_compact!("SELECT count(*) FROM renewals WHERE id = '{}'", self.id);
+        match self.pool.run(&[read], position, deadline).await {
+            RequestEnd::Served(column) => column.first().and_then(Option::as_deref) != Some("1"),
+            _ => false,
+        }
+    }
+}
+
+fn read_statement(badge: u64, slow: bool) -> CompactString {
+    if slow {
+        return format_compact!(
+            "SELECT count(*), pg_sleep(0.02) FROM renewals WHERE badge = {badge}"
+        );
+    }
+    format_compact!("SELECT count(*) FROM renewals WHERE badge = {badge}")
+}
--- /dev/null
+++ b/crates/ownership/src/rendezvous.rs
@@ -0,0 +1,23 @@
+//! Highest-random-weight hashing.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Weight of `host` for `key`. It is the same on every machine and build.
+#[must_use]
+pub fn rendezvous_score(key: &str, host: &str) -> u64 {
+    xxh3_64_with_seed(host.as_bytes(), xxh3_64(key.as_bytes()))
+}
+
+/// The hosts in the order in which they would own `key`, best first.
+///
+/// The order of two hosts does not depend on the others, so that the loss of
+/// one host moves only what it owned.
+#[must_use]
+pub fn rank_hosts<'a>(key: &str, hosts: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut scored = Vec::new();
+    for host in hosts {
+        scored.push((rendezvous_score(key, host), host));
+    }
+    scored.sort_unstable_by(|a, b| b.cmp(a));
+    scored.into_iter().map(|(_, host)| host).collect()
+}
--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,245 @@
+//! The calling side of a link.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use compact_str::CompactString;
+use futures_lite::FutureExt;
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt, StreamExt};
+use smol::Timer;
+use smol::net::TcpStream;
+use thiserror::Error;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::{WebSocketStream, client_async};
+use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
+
+use crate::message::{PeerCall, PeerReply};
+use crate::wire::{WIRE_VERSION, WireError, WireFrame, decode_frame, encode_frame};
+
+/// Time without a frame after which a link is given up.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(600);
+/// Time between two probes of a quiet link.
+pub const PROBE_INTERVAL: Duration = Duration::from_millis(150);
+/// Frames that may wait to be written.
+const QUEUE_FRAMES: usize = 4096;
+
+/// Stream of a link.
+pub(crate) type LinkStream = WebSocketStream<Compat<TcpStream>>;
+
+/// Why a call has no reply.
+#[derive(Debug, Error)]
+pub enum LinkError {
+    /// The link cannot be set up; nothing was sent.
+    #[error("{address}: cannot connect: {why}")]
+    Connect {
+        /// Address of the other host.
+        address: CompactString,
+        /// What failed.
+        why: String,
+    },
+    /// The link was already down; nothing was sent.
+    #[error("link is down")]
+    Down,
+    /// The link went down, or the deadline came, after the call was sent.
+    #[error("link was lost before the reply came")]
+    Lost,
+    /// The call cannot be expressed; nothing was sent.
+    #[error(transparent)]
+    Wire(#[from] WireError),
+}
+
+impl LinkError {
+    /// Whether the other host may have taken the call.
+    #[must_use]
+    pub fn may_have_arrived(&self) -> bool {
+        matches!(self, Self::Lost)
+    }
+}
+
+#[derive(Debug)]
+struct LinkShared {
+    closed: AtomicBool,
+    pending: Mutex<HashMap<u64, Sender<PeerReply>>>,
+}
+
+impl LinkShared {
+    fn pending(&self) -> MutexGuard<'_, HashMap<u64, Sender<PeerReply>>> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Lets every waiting call learn that its reply will not come.
+    fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+        self.pending().clear();
+    }
+}
+
+/// A link to another host, used by many calls at once.
+#[derive(Debug)]
+pub struct PeerLink {
+    shared: Arc<LinkShared>,
+    next_id: AtomicU64,
+    outgoing: Sender<Vec<u8>>,
+    _task: smol::Task<()>,
+}
+
+impl PeerLink {
+    /// Connects to the host at `address` and says who is calling.
+    ///
+    /// # Errors
+    ///
+    /// When the host cannot be reached before `deadline`.
+    pub async fn connect(address: &str, host: &str, deadline: Instant) -> Result<Self, LinkError> {
+        let failed = |why: String| LinkError::Connect {
+            address: address.into(),
+            why,
+        };
+        let connect = async {
+            let address: SocketAddr = address
+                .parse()
+                .map_err(|error| failed(format!("{error}")))?;
+            let stream = TcpStream::connect(address)
+                .await
+                .map_err(|e: io::Error| failed(e.to_string()))?;
+            stream.set_nodelay(true).ok();
+            let url = format!("ws://{address}/peer");
+            let (stream, _) = client_async(url, stream.compat())
+                .await
+                .map_err(|error| failed(error.to_string()))?;
+            Ok(stream)
+        };
+        let timeout = async {
+            Timer::at(deadline).await;
+            Err(failed("no answer before the deadline".to_owned()))
+        };
+        let stream = connect.or(timeout).await?;
+        let hello = WireFrame::Hello {
+            version: WIRE_VERSION,
+            host: host.into(),
+        };
+        Ok(Self::start(stream, encode_frame(&hello)?))
+    }
+
+    fn start(stream: LinkStream, hello: Vec<u8>) -> Self {
+        let (sink, source) = stream.split();
+        let (outgoing, frames) = async_channel::bounded(QUEUE_FRAMES);
+        let shared = Arc::new(LinkShared {
+            closed: AtomicBool::new(false),
+            pending: Mutex::default(),
+        });
+        outgoing.try_send(hello).ok();
+        let for_task = shared.clone();
+        let task = fulmarrill_runtime::spawn(async move {
+            let reading = read_replies(source, &for_task);
+            let writing = write_frames(sink, frames);
+            reading.or(writing).await;
+            for_task.close();
+        });
+        Self {
+            shared,
+            next_id: AtomicU64::new(1),
+            outgoing,
+            _task: task,
+        }
+    }
+
+    /// Whether the link has gone down.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.shared.closed.load(Ordering::SeqCst)
+    }
+
+    /// Sends a call and waits for its reply.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError::may_have_arrived`] tells whether the call was sent.
+    pub async fn call(&self, call: PeerCall, deadline: Instant) -> Result<PeerReply, LinkError> {
+        if self.is_closed() {
+            return Err(LinkError::Down);
+        }
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let frame = encode_frame(&WireFrame::Call {
+            id,
+            call: call.into(),
+        })?;
+        let (reply_to, reply) = async_channel::bounded(1);
+        self.shared.pending().insert(id, reply_to);
+        // A close between the check above and the insertion has cleared the
+        // map before; look again, so that no call waits for nothing.
+        if self.is_closed() || self.outgoing.try_send(frame).is_err() {
+            self.shared.pending().remove(&id);
+            return Err(LinkError::Down);
+        }
+        let timeout = async {
+            Timer::at(deadline).await;
+            None
+        };
+        let reply = async { reply.recv().await.ok() }.or(timeout).await;
+        self.shared.pending().remove(&id);
+        reply.ok_or(LinkError::Lost)
+    }
+}
+
+async fn read_replies(mut source: SplitStream<LinkStream>, shared: &LinkShared) {
+    loop {
+        let silence = async {
+            Timer::after(SILENCE_LIMIT).await;
+            None
+        };
+        let Some(Ok(message)) = source.next().or(silence).await else {
+            return;
+        };
+        let Message::Binary(bytes) = message else {
+            continue;
+        };
+        match decode_frame(&bytes) {
+            Ok(WireFrame::Reply { id, reply }) => {
+                let waiting = shared.pending().remove(&id);
+                if let Some(waiting) = waiting {
+                    waiting.try_send(reply.into()).ok();
+                }
+            }
+            Ok(_) => {}
+            Err(error) => {
+                log::warn!("peer link given up: {error}");
+                return;
+            }
+        }
+    }
+}
+
+/// Writes frames; when there are none, a probe, so that silence has a meaning.
+pub(crate) async fn write_frames(
+    mut sink: SplitSink<LinkStream, Message>,
+    frames: Receiver<Vec<u8>>,
+) {
+    loop {
+        let quiet = async {
+            Timer::after(PROBE_INTERVAL).await;
+            None
+        };
+        let message = match async { Some(frames.recv().await) }.or(quiet).await {
+            Some(Ok(frame)) => Message::binary(frame),
+            Some(Err(_)) => return,
+            None => Message::Ping(Vec::new().into()),
+        };
+        if sink.feed(message).await.is_err() {
+            return;
+        }
+        while let Ok(frame) = frames.try_recv() {
+            if sink.feed(Message::binary(frame)).await.is_err() {
+                return;
+            }
+        }
+        if sink.flush().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/server.rs
@@ -0,0 +1,124 @@
+//! The answering side of links.
+
+use std::future::Future;
+use std::sync::Arc;
+
+use async_channel::Sender;
+use compact_str::CompactString;
+use futures_lite::FutureExt;
+use futures_util::StreamExt;
+use smol::net::{TcpListener, TcpStream};
+use smol::{Executor, Timer};
+use tokio_tungstenite::accept_async;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+
+use crate::link::{LinkStream, SILENCE_LIMIT, write_frames};
+use crate::message::{PeerCall, PeerReply};
+use crate::wire::{WireFrame, decode_frame, encode_frame};
+
+/// Replies that may wait to be written.
+const QUEUE_FRAMES: usize = 4096;
+
+/// Serves every link of `listener` until the task is dropped. `handler` gets
+/// the name of the calling host; `on_close` learns when its link ends.
+pub async fn serve_peers<H, F>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    on_close: Arc<dyn Fn(CompactString) + Send + Sync>,
+) where
+    H: Fn(CompactString, PeerCall) -> F + Send + Sync + 'static,
+    F: Future<Output = PeerReply> + Send + 'static,
+{
+    let executor = Executor::new();
+    executor
+        .run(async {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    continue;
+                };
+                let (handler, on_close) = (handler.clone(), on_close.clone());
+                executor
+                    .spawn(serve_link(stream, handler, on_close))
+                    .detach();
+            }
+        })
+        .await;
+}
+
+async fn serve_link<H, F>(
+    stream: TcpStream,
+    handler: Arc<H>,
+    on_close: Arc<dyn Fn(CompactString) + Send + Sync>,
+) where
+    H: Fn(CompactString, PeerCall) -> F + Send + Sync + 'static,
+    F: Future<Output = PeerReply> + Send + 'static,
+{
+    stream.set_nodelay(true).ok();
+    let Ok(mut stream) = accept_async(stream.compat()).await else {
+        return;
+    };
+    let Some(host) = read_hello(&mut stream).await else {
+        return;
+    };
+    let (sink, mut source) = stream.split();
+    let (outgoing, frames) = async_channel::bounded(QUEUE_FRAMES);
+    let reading = async {
+        loop {
+            let silence = async {
+                Timer::after(SILENCE_LIMIT).await;
+                None
+            };
+            let Some(Ok(message)) = source.next().or(silence).await else {
+                return;
+            };
+            let Message::Binary(bytes) = message else {
+                continue;
+            };
+            match decode_frame(&bytes) {
+                Ok(WireFrame::Call { id, call }) => {
+                    let work = handler(host.clone(), call.into());
+                    fulmarrill_runtime::spawn(send_reply(id, work, outgoing.clone())).detach();
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    log::warn!("link from {host} given up: {error}");
+                    return;
+                }
+            }
+        }
+    };
+    reading.or(write_frames(sink, frames)).await;
+    on_close(host);
+}
+
+async fn read_hello(stream: &mut LinkStream) -> Option<CompactString> {
+    let silence = async {
+        Timer::after(SILENCE_LIMIT).await;
+        None
+    };
+    let Message::Binary(bytes) = stream.next().or(silence).await?.ok()? else {
+        return None;
+    };
+    match decode_frame(&bytes) {
+        Ok(WireFrame::Hello { host, .. }) => Some(host),
+        Ok(_) => None,
+        Err(error) => {
+            log::warn!("link refused: {error}");
+            None
+        }
+    }
+}
+
+async fn send_reply(id: u64, work: impl Future<Output = PeerReply>, outgoing: Sender<Vec<u8>>) {
+    let reply = work.await;
+    match encode_frame(&WireFrame::Reply {
+        id,
+        reply: reply.into(),
+    }) {
+        Ok(frame) => {
+            outgoing.send(frame).await.ok();
+        }
+        Err(error) => log::error!("reply cannot be sent: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/pg/src/lib.rs
@@ -0,0 +1,39 @@
+//! PostgreSQL version 3 connections on smol.
+//!
+//! ```no_run
+//! use std::time::{Duration, Instant};
+//! use fulmarrill_pg::{ConnectTarget, DatabaseConnection};
+//!
+//! let target = ConnectTarget::new("127.0.0.1:5432", "app", "registry-1");
+//! smol::block_on(async {
+//!     let deadline = Instant::now() + Duration::from_secs(1);
+//!     let mut connection = DatabaseConnection::connect(&target, deadline).await.unwrap();
+//!     let rows = connection.query("SELECT 1", deadline).await.unwrap();
+//!     assert_eq!(rows[0].text(0), Some("1"));
+//! });
+//! ```
+//!
+//! Message bodies are encoded and decoded by the `pgwire` crate; this crate
+//! only moves them over sockets, without that crate's server runtime. Answers
+//! are passed on as they came, so that a proxy need not understand them.
+
+mod client;
+mod deadline;
+mod error;
+mod report;
+mod server;
+mod stream;
+
+pub use crate::client::{ConnectTarget, DatabaseConnection, ExchangeAnswer, TextRow};
+pub use crate::deadline::{Elapsed, before};
+pub use crate::error::PgError;
+pub use crate::report::{ErrorReport, decode_frontend, sqlstate};
+pub use crate::server::{StartupRequest, greet_caller, read_startup};
+pub use crate::stream::{MessageStream, encode_backend, encode_frontend};
+
+/// Transaction status byte of `ReadyForQuery`: no transaction is open.
+pub const STATUS_IDLE: u8 = b'I';
+/// Transaction status byte of `ReadyForQuery`: a transaction is open.
+pub const STATUS_TRANSACTION: u8 = b'T';
+/// Transaction status byte of `ReadyForQuery`: the open transaction failed.
+pub const STATUS_FAILED: u8 = b'E';
--- /dev/null
+++ b/crates/pg/src/report.rs
@@ -0,0 +1,143 @@
+//! Errors as PostgreSQL servers report them.
+
+use bytes::BytesMut;
+use compact_str::CompactString;
+use pgwire::messages::response::{ErrorResponse, NoticeResponse};
+use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
+
+/// SQLSTATEs used by this project, with the names of PostgreSQL's appendix A.
+pub mod sqlstate {
+    /// `protocol_violation`.
+    pub const PROTOCOL_VIOLATION: &str = "08P01";
+    /// `transaction_resolution_unknown`: the statement may have run.
+    pub const OUTCOME_UNKNOWN: &str = "08007";
+    /// `feature_not_supported`.
+    pub const NOT_SUPPORTED: &str = "0A000";
+    /// `invalid_parameter_value`.
+    pub const INVALID_PARAMETER: &str = "22023";
+    /// `read_only_sql_transaction`.
+    pub const READ_ONLY: &str = "25006";
+    /// `idle_in_transaction_session_timeout`.
+    pub const IDLE_TRANSACTION: &str = "25P03";
+    /// `in_failed_sql_transaction`.
+    pub const FAILED_TRANSACTION: &str = "25P02";
+    /// `invalid_catalog_name`: no such database.
+    pub const NO_DATABASE: &str = "3D000";
+    /// `serialization_failure`: rolled back, safe to repeat.
+    pub const SERIALIZATION: &str = "40001";
+    /// `too_many_connections`.
+    pub const TOO_MANY_CONNECTIONS: &str = "53300";
+    /// `configuration_limit_exceeded`: refused before it ran.
+    pub const LIMIT_EXCEEDED: &str = "53400";
+    /// `lock_not_available`.
+    pub const LOCK_TIMEOUT: &str = "55P03";
+    /// `query_canceled`: refused or ended by its deadline.
+    pub const CANCELED: &str = "57014";
+    /// `admin_shutdown`.
+    pub const SHUTDOWN: &str = "57P01";
+    /// `cannot_connect_now`: refused before it ran, try again.
+    pub const UNAVAILABLE: &str = "57P03";
+    /// `internal_error`.
+    pub const INTERNAL: &str = "XX000";
+}
+
+/// An error or notice with the fields that drivers show.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ErrorReport {
+    /// `ERROR` or `FATAL`.
+    pub severity: &'static str,
+    /// SQLSTATE.
+    pub code: CompactString,
+    /// One line that says what is wrong.
+    pub message: String,
+    /// What else is known, such as whether the statement ran.
+    pub detail: Option<String>,
+}
+
+impl ErrorReport {
+    /// An error that leaves the connection usable.
+    #[must_use]
+    pub fn new(code: &str, message: impl Into<String>) -> Self {
+        Self {
+            severity: "ERROR",
+            code: code.into(),
+            message: message.into(),
+            detail: None,
+        }
+    }
+
+    /// Says that the connection ends with this error.
+    #[must_use]
+    pub fn with_fatal(mut self) -> Self {
+        self.severity = "FATAL";
+        self
+    }
+
+    /// Adds the `DETAIL` field.
+    #[must_use]
+    pub fn with_detail(mut self, detail: impl Into<String>) -> Self {
+        self.detail = Some(detail.into());
+        self
+    }
+
+    fn fields(&self) -> Vec<(u8, String)> {
+        let mut fields = vec![
+            (b'S', self.severity.to_owned()),
+            (b'V', self.severity.to_owned()),
+            (b'C', self.code.to_string()),
+            (b'M', self.message.clone()),
+        ];
+        if let Some(detail) = &self.detail {
+            fields.push((b'D', detail.clone()));
+        }
+        fields
+    }
+
+    /// The `ErrorResponse` message.
+    #[must_use]
+    pub fn to_message(&self) -> PgWireBackendMessage {
+        PgWireBackendMessage::ErrorResponse(ErrorResponse::new(self.fields()))
+    }
+
+    /// The `NoticeResponse` message with the same fields.
+    #[must_use]
+    pub fn to_notice(&self) -> PgWireBackendMessage {
+        PgWireBackendMessage::NoticeResponse(NoticeResponse::new(self.fields()))
+    }
+
+    /// Reads the report out of a raw `ErrorResponse` message.
+    ///
+    /// Fields that are missing or damaged come out empty.
+    #[must_use]
+    pub fn from_message(message: &[u8]) -> Self {
+        let mut bytes = BytesMut::from(message);
+        let mut report = Self::new("", "");
+        let context = crate::server::decode_context();
+        let Ok(Some(PgWireBackendMessage::ErrorResponse(response))) =
+            PgWireBackendMessage::decode(&mut bytes, &context)
+        else {
+            return report;
+        };
+        for (kind, text) in response.fields {
+            match kind {
+                b'C' => report.code = text.into(),
+                b'M' => report.message = text,
+                b'D' => report.detail = Some(text),
+                _ => {}
+            }
+        }
+        report
+    }
+}
+
+/// Decodes one whole message of a client.
+///
+/// # Errors
+///
+/// When the message cannot be decoded.
+pub fn decode_frontend(
+    message: &mut BytesMut,
+) -> Result<Option<PgWireFrontendMessage>, crate::PgError> {
+    let context = crate::server::decode_context();
+    Ok(PgWireFrontendMessage::decode(message, &context)?)
+}
--- /dev/null
+++ b/crates/records/src/lib.rs
@@ -0,0 +1,26 @@
+//! Hash-chained records of customers' requests.
+//!
+//! ```
+//! use fulmarrill_records::{RecordChain, RequestOutcome, RequestRecord, verify_segments};
+//!
+//! let mut chain = RecordChain::new("h1", "stall-7");
+//! chain.append(RequestRecord::new(1000, "renewals", "SELECT 1", RequestOutcome::Served));
+//! let segment = chain.take_segment().unwrap();
+//! let verified = verify_segments(&[segment]).unwrap();
+//! assert_eq!(verified.records.len(), 1);
+//! ```
+//!
+//! Each host keeps one chain per customer. Every record carries its number and
+//! the hash of the one before it, so that a record that was altered, dropped
+//! or swapped breaks the chain at a place that can be named. Chains are cut
+//! into segments, which are what the store holds.
+
+mod chain;
+mod record;
+mod segment;
+
+pub use crate::chain::RecordChain;
+pub use crate::record::{ChainHash, RequestOutcome, RequestRecord, chain_hash, first_hash};
+pub use crate::segment::{
+    RecordFault, RecordSegment, SegmentError, VerifiedRecords, verify_segments,
+};
--- /dev/null
+++ b/crates/schedule/src/rank.rs
@@ -0,0 +1,187 @@
+//! One rank: its policy and the work that waits in it.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+
+use crate::queue::WorkItem;
+
+/// Place of a rank, 0 for the most urgent.
+pub type RankIndex = usize;
+
+/// Weight of the newest sample in a moving mean.
+const MEAN_WEIGHT: f64 = 0.1;
+/// Time of a statement before any was measured, in seconds.
+const FIRST_COST: f64 = 0.002;
+/// Credit that a waiting rank can save up, in mean statements.
+const CREDIT_STATEMENTS_MAX: f64 = 4.0;
+/// Time over which a rank's rate is measured.
+const RATE_WINDOW: Duration = Duration::from_millis(100);
+
+/// What operators declare for a rank.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RankPolicy {
+    /// Name of the rank.
+    pub name: CompactString,
+    /// Share of the slots, 0 to 1, that the rank keeps while it has work.
+    pub floor: f64,
+}
+
+impl RankPolicy {
+    /// A rank with its floor.
+    #[must_use]
+    pub fn new(name: &str, floor: f64) -> Self {
+        Self {
+            name: name.into(),
+            floor,
+        }
+    }
+}
+
+/// Work of one service and customer.
+#[derive(Debug, Default)]
+struct FlowQueue {
+    items: VecDeque<WorkItem>,
+    /// Slot time used so far, in seconds, on the rank's common scale.
+    virtual_time: f64,
+}
+
+/// The waiting work of one rank.
+#[derive(Debug)]
+pub(crate) struct RankBacklog {
+    pub(crate) policy: RankPolicy,
+    flows: BTreeMap<CompactString, FlowQueue>,
+    virtual_now: f64,
+    pub(crate) length: usize,
+    /// Slot time, in seconds, that the floor owes to this rank.
+    pub(crate) credit: f64,
+    mean_cost: f64,
+    /// Slots that the rank got while it had work, a moving mean.
+    rate: f64,
+    window_start: Instant,
+    window_cost: f64,
+    window_was_idle: bool,
+}
+
+impl RankBacklog {
+    pub(crate) fn new(policy: RankPolicy, slots: f64, now: Instant) -> Self {
+        Self {
+            policy,
+            flows: BTreeMap::new(),
+            virtual_now: 0.0,
+            length: 0,
+            credit: 0.0,
+            mean_cost: FIRST_COST,
+            rate: slots,
+            window_start: now,
+            window_cost: 0.0,
+            window_was_idle: true,
+        }
+    }
+
+    pub(crate) fn mean_cost(&self) -> f64 {
+        self.mean_cost
+    }
+
+    pub(crate) fn push(&mut self, item: WorkItem) {
+        let flow = self.flows.entry(item.flow.clone()).or_default();
+        if flow.items.is_empty() {
+            // A flow that was idle may not claim the time it did not use.
+            flow.virtual_time = flow.virtual_time.max(self.virtual_now);
+        }
+        flow.items.push_back(item);
+        self.length += 1;
+    }
+
+    /// Takes the oldest item of the flow that has used the least.
+    pub(crate) fn pop(&mut self) -> Option<WorkItem> {
+        let mut chosen: Option<(&CompactString, f64)> = None;
+        for (name, flow) in &self.flows {
+            if flow.items.is_empty() {
+                continue;
+            }
+            if chosen.is_none_or(|(_, time)| flow.virtual_time < time) {
+                chosen = Some((name, flow.virtual_time));
+            }
+        }
+        let name = chosen?.0.clone();
+        let flow = self.flows.get_mut(&name)?;
+        let item = flow.items.pop_front()?;
+        self.virtual_now = flow.virtual_time;
+        flow.virtual_time += self.mean_cost;
+        if flow.items.is_empty() && self.flows.len() > FLOWS_KEPT {
+            self.flows.remove(&name);
+        }
+        self.length -= 1;
+        Some(item)
+    }
+
+    pub(crate) fn remove(&mut self, id: u64) -> Option<WorkItem> {
+        for flow in self.flows.values_mut() {
+            let Some(index) = flow.items.iter().position(|item| item.id == id) else {
+                continue;
+            };
+            self.length -= 1;
+            return flow.items.remove(index);
+        }
+        None
+    }
+
+    /// Adds what the floor owes for `cost` seconds of slot time given out.
+    pub(crate) fn accrue(&mut self, cost: f64) {
+        if self.length == 0 {
+            self.credit = self.credit.min(0.0);
+            return;
+        }
+        let most = CREDIT_STATEMENTS_MAX * self.mean_cost;
+        self.credit = (self.credit + self.policy.floor * cost).min(most);
+    }
+
+    /// Whether the floor owes at least one statement.
+    pub(crate) fn is_owed(&self) -> bool {
+        self.length > 0 && self.credit >= self.mean_cost
+    }
+
+    pub(crate) fn note_start(&mut self) {
+        self.credit -= self.mean_cost;
+    }
+
+    pub(crate) fn note_finish(&mut self, cost: f64) {
+        // The start was charged with the mean; settle the difference.
+        self.credit -= cost - self.mean_cost;
+        self.mean_cost += MEAN_WEIGHT * (cost - self.mean_cost);
+        self.window_cost += cost;
+    }
+
+    /// Measures the rank's rate over windows in which it always had work.
+    pub(crate) fn measure(&mut self, now: Instant, slots: f64) {
+        self.window_was_idle |= self.length == 0;
+        let elapsed = now.saturating_duration_since(self.window_start);
+        if elapsed < RATE_WINDOW {
+            return;
+        }
+        let sample = if self.window_was_idle {
+            slots
+        } else {
+            self.window_cost / elapsed.as_secs_f64()
+        };
+        self.rate = 0.5 * self.rate + 0.5 * sample;
+        self.window_start = now;
+        self.window_cost = 0.0;
+        self.window_was_idle = self.length == 0;
+    }
+
+    /// Time until a new item would start, judged by what waits before it and
+    /// the rate at which this rank has been served.
+    pub(crate) fn expected_wait(&self, slots: f64) -> Duration {
+        let least = (self.policy.floor * slots).max(0.01);
+        let rate = self.rate.clamp(least, slots.max(least));
+        #[allow(clippy::cast_precision_loss)]
+        let ahead = self.length as f64 * self.mean_cost;
+        Duration::from_secs_f64(ahead / rate)
+    }
+}
+
+/// Flows remembered while they have no work.
+const FLOWS_KEPT: usize = 256;
--- /dev/null
+++ b/crates/standin/src/database.rs
@@ -0,0 +1,268 @@
+//! A database instance: listener, limits and the tasks that replicate.
+
+mod backend;
+mod engine;
+mod functions;
+mod instance;
+mod replication;
+mod sql;
+mod value;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use fulmarrill_pg::{ErrorReport, MessageStream, encode_backend, sqlstate};
+use smol::Timer;
+use smol::net::{TcpListener, TcpStream};
+use thiserror::Error;
+
+use crate::database::backend::BackendSession;
+use crate::database::engine::EngineError;
+use crate::database::instance::InstanceState;
+
+pub use crate::database::instance::InstanceFaults;
+
+/// Time that a new connection takes.
+const CONNECT_TIME: Duration = Duration::from_millis(12);
+
+/// What an instance is like.
+#[derive(Debug, Clone)]
+pub struct InstanceOptions {
+    name: CompactString,
+    listen: CompactString,
+    slots: usize,
+    connection_limit: usize,
+    connect_time: Duration,
+    statement_time: Duration,
+    primary_term: Option<u64>,
+    schema: Vec<String>,
+}
+
+impl InstanceOptions {
+    /// A replica that follows nobody, with 2 slots, 16 connections and 2 ms
+    /// for a statement, on a port that the system picks.
+    #[must_use]
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.into(),
+            listen: "127.0.0.1:0".into(),
+            slots: 2,
+            connection_limit: 16,
+            connect_time: CONNECT_TIME,
+            statement_time: Duration::from_millis(2),
+            primary_term: None,
+            schema: Vec::new(),
+        }
+    }
+
+    /// Sets the address to listen on.
+    #[must_use]
+    pub fn with_listen(mut self, listen: &str) -> Self {
+        self.listen = listen.into();
+        self
+    }
+
+    /// Sets the number of slots and of connections.
+    #[must_use]
+    pub fn with_limits(mut self, slots: usize, connection_limit: usize) -> Self {
+        self.slots = slots;
+        self.connection_limit = connection_limit;
+        self
+    }
+
+    /// Sets the time that a statement on a table keeps its slot.
+    #[must_use]
+    pub fn with_statement_time(mut self, time: Duration) -> Self {
+        self.statement_time = time;
+        self
+    }
+
+    /// Makes the instance the primary of `term` from the start.
+    #[must_use]
+    pub fn with_primary(mut self, term: u64) -> Self {
+        self.primary_term = Some(term);
+        self
+    }
+
+    /// Sets the statements that a primary runs first. Replicas receive them.
+    #[must_use]
+    pub fn with_schema(mut self, schema: &[&str]) -> Self {
+        self.schema = schema.iter().map(|sql| (*sql).to_owned()).collect();
+        self
+    }
+}
+
+/// Why a stand-in cannot start.
+#[derive(Debug, Error)]
+pub enum DatabaseError {
+    /// The address cannot be listened on.
+    #[error("{0}: cannot listen: {1}")]
+    Listen(CompactString, io::Error),
+    /// The embedded engine failed.
+    #[error(transparent)]
+    Engine(#[from] EngineError),
+}
+
+/// A running instance. Dropping it closes the listener, every connection and
+/// all of its memory, as a killed process would.
+#[derive(Debug)]
+pub struct DatabaseStandin {
+    address: SocketAddr,
+    state: Arc<InstanceState>,
+    task: smol::Task<()>,
+}
+
+impl DatabaseStandin {
+    /// Starts an instance.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be listened on or the schema is wrong.
+    pub async fn start(options: InstanceOptions) -> Result<Self, DatabaseError> {
+        let failed = |error| DatabaseError::Listen(options.listen.clone(), error);
+        let listener = TcpListener::bind(options.listen.as_str())
+            .await
+            .map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        let state = Arc::new(InstanceState::new(&options.name, options.slots)?);
+        state.set_statement_time(options.statement_time);
+        if let Some(term) = options.primary_term {
+            state.start_primary(term, &options.schema)?;
+        }
+        let accept = AcceptLoop {
+            listener,
+            state: state.clone(),
+            connection_limit: options.connection_limit,
+            connect_time: options.connect_time,
+            open: Arc::new(AtomicUsize::new(0)),
+        };
+        let task = fulmarrill_runtime::spawn(run_instance(accept));
+        Ok(Self {
+            address,
+            state,
+            task,
+        })
+    }
+
+    /// The address it listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Pulls the log from `address` by way of `through` from now on.
+    pub fn add_route(&self, address: &str, through: &str) {
+        self.state.add_route(address, through);
+    }
+
+    /// What it reports of itself.
+    #[must_use]
+    pub fn status(&self) -> fulmarrill_position::InstanceStatus {
+        self.state.status()
+    }
+
+    /// Changes its faults.
+    pub fn set_faults(&self, faults: InstanceFaults) {
+        self.state.set_faults(faults);
+    }
+
+    /// Runs until the process ends.
+    pub async fn wait(self) {
+        self.task.await;
+    }
+}
+
+/// What the accepting task needs.
+#[derive(Debug)]
+struct AcceptLoop {
+    listener: TcpListener,
+    state: Arc<InstanceState>,
+    connection_limit: usize,
+    connect_time: Duration,
+    open: Arc<AtomicUsize>,
+}
+
+/// Keeps the count of open connections right however a session ends.
+#[derive(Debug)]
+struct OpenGuard(Arc<AtomicUsize>);
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Runs everything of one instance on the shared threads. The tasks belong to
+/// an executor of the instance's own, so that dropping it ends them all.
+async fn run_instance(accept: AcceptLoop) {
+    let executor = Arc::new(smol::Executor::new());
+    executor
+        .spawn(replication::receive_loop(accept.state.clone()))
+        .detach();
+    executor
+        .spawn(replication::apply_loop(accept.state.clone()))
+        .detach();
+    let sessions = executor.clone();
+    executor
+        .run(async move {
+            loop {
+                let Ok((stream, _)) = accept.listener.accept().await else {
+                    continue;
+                };
+                let count = accept.open.fetch_add(1, Ordering::SeqCst) + 1;
+                let guard = OpenGuard(accept.open.clone());
+                let over = count > accept.connection_limit;
+                let ready_at = Instant::now() + accept.connect_time;
+                let state = accept.state.clone();
+                sessions
+                    .spawn(async move {
+                        let _guard = guard;
+                        serve_connection(stream, state, over, ready_at).await;
+                    })
+                    .detach();
+            }
+        })
+        .await;
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    state: Arc<InstanceState>,
+    over_limit: bool,
+    ready_at: Instant,
+) {
+    let mut stream = MessageStream::new(stream);
+    if over_limit {
+        refuse_connection(&mut stream).await;
+        return;
+    }
+    Timer::at(ready_at).await;
+    let session = match BackendSession::new(stream, state) {
+        Ok(session) => session,
+        Err(error) => {
+            log::warn!("session cannot start: {error}");
+            return;
+        }
+    };
+    if let Err(error) = session.serve().await {
+        log::debug!("session ended: {error}");
+    }
+}
+
+async fn refuse_connection(stream: &mut MessageStream) {
+    if fulmarrill_pg::read_startup(stream).await.is_err() {
+        return;
+    }
+    let report = ErrorReport::new(
+        sqlstate::TOO_MANY_CONNECTIONS,
+        "sorry, too many clients already",
+    )
+    .with_fatal();
+    if let Ok(bytes) = encode_backend(&[report.to_message()]) {
+        stream.write(&bytes).await.ok();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/database/instance.rs
@@ -0,0 +1,590 @@
+//! The state of one instance: role, terms, log and what is applied of it.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicI32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use event_listener::{Event, EventListener};
+use fulmarrill_position::{InstanceRole, InstanceStatus, LogPoint, Term};
+use rusqlite::Connection;
+use rusqlite::types::Value;
+use serde::{Deserialize, Serialize};
+use smol::lock::Semaphore;
+use thiserror::Error;
+
+use crate::database::engine::{EngineError, column_types, open_engine, run_statement};
+use crate::database::sql::{ColumnTypes, parse_statements};
+use crate::database::value::LoggedValue;
+
+/// A replica that heard nothing from its primary for this long does not stream.
+const STREAMING_TIME: Duration = Duration::from_millis(400);
+/// Entries sent in one answer to a replica.
+const PULL_ENTRIES_MAX: usize = 256;
+
+/// A statement in the log, with its parameters.
+#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+pub struct LoggedStatement {
+    /// Text for the embedded engine.
+    pub sql: String,
+    /// Values of `$1` and so on.
+    pub parameters: Vec<LoggedValue>,
+}
+
+/// A committed transaction. Its position is its place in the log, from 1.
+#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+pub struct LogEntry {
+    /// Term in which it was committed.
+    pub term: Term,
+    /// Its statements in order.
+    pub statements: Vec<LoggedStatement>,
+}
+
+/// A replica's question for what comes next.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct PullRequest {
+    /// Term of the primary that the replica follows.
+    pub term: Term,
+    /// The last entry that the replica holds.
+    pub last: LogPoint,
+}
+
+/// A primary's answer.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct PullAnswer {
+    /// Term of the primary.
+    pub term: Term,
+    /// Where the replica's log must be cut before it can continue.
+    pub cut_to: Option<u64>,
+    /// Entries after the replica's last.
+    pub entries: Vec<LogEntry>,
+}
+
+/// Faults that can be switched while an instance runs.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct InstanceFaults {
+    /// Time between a commit at the primary and its receipt here.
+    pub receive_delay_ms: u64,
+    /// Time between receipt and application.
+    pub apply_delay_ms: u64,
+    /// Nothing is received.
+    pub receive_paused: bool,
+    /// Nothing is applied.
+    pub apply_paused: bool,
+    /// Factor on the time of every statement; 0 means 1.
+    pub slowness: u32,
+}
+
+/// Why an instance does not do as it is told.
+#[derive(Debug, Error)]
+pub enum InstanceError {
+    /// It has been fenced at a later term, or not at this one.
+    #[error("instance is fenced at term {held}, not {asked}")]
+    Fenced {
+        /// Term that it is fenced at.
+        held: Term,
+        /// Term of the command.
+        asked: Term,
+    },
+    /// It is not a primary that may commit.
+    #[error("instance is not the primary of the term that it is fenced at")]
+    NotPrimary,
+    /// The embedded engine failed.
+    #[error(transparent)]
+    Engine(#[from] EngineError),
+}
+
+#[derive(Debug)]
+struct InstanceInner {
+    role: InstanceRole,
+    fence_term: Term,
+    serving_term: Term,
+    log: Vec<LogEntry>,
+    applied: usize,
+    upstream: Option<CompactString>,
+    heard_upstream_at: Option<Instant>,
+    matched: bool,
+    generation: u64,
+    anchor: Connection,
+    columns: Arc<ColumnTypes>,
+    faults: InstanceFaults,
+    statement_time: Duration,
+}
+
+/// One instance, shared by its sessions and its replication tasks.
+#[derive(Debug)]
+pub struct InstanceState {
+    engine_name: String,
+    /// Statements that run at the same time.
+    pub slots: Semaphore,
+    /// Held by the one transaction that writes.
+    pub writer: Arc<smol::lock::Mutex<()>>,
+    inner: Mutex<InstanceInner>,
+    changed: Event,
+    /// Ends sessions, by process id.
+    sessions: Mutex<BTreeMap<i32, Arc<Event>>>,
+    routes: Mutex<BTreeMap<CompactString, CompactString>>,
+    next_process_id: AtomicI32,
+}
+
+impl InstanceState {
+    /// An empty replica that follows nobody.
+    ///
+    /// # Errors
+    ///
+    /// The engine's error.
+    pub fn new(name: &str, slots: usize) -> Result<Self, EngineError> {
+        static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+        let engine_name = format!("{name}-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
+        let anchor = open_engine(&format!("{engine_name}-0"), None)?;
+        let inner = InstanceInner {
+            role: InstanceRole::Replica,
+            fence_term: 0,
+            serving_term: 0,
+            log: Vec::new(),
+            applied: 0,
+            upstream: None,
+            heard_upstream_at: None,
+            matched: false,
+            generation: 0,
+            anchor,
+            columns: Arc::default(),
+            faults: InstanceFaults::default(),
+            statement_time: Duration::ZERO,
+        };
+        Ok(Self {
+            engine_name,
+            slots: Semaphore::new(slots),
+            writer: Arc::default(),
+            inner: Mutex::new(inner),
+            changed: Event::new(),
+            sessions: Mutex::default(),
+            routes: Mutex::default(),
+            next_process_id: AtomicI32::new(1),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, InstanceInner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn sessions(&self) -> MutexGuard<'_, BTreeMap<i32, Arc<Event>>> {
+        self.sessions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Pulls the log from `address` by way of `through`.
+    pub fn add_route(&self, address: &str, through: &str) {
+        let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        routes.insert(address.into(), through.into());
+    }
+
+    /// The address to connect to for `address`.
+    #[must_use]
+    pub fn route(&self, address: &str) -> CompactString {
+        let routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        routes
+            .get(address)
+            .cloned()
+            .unwrap_or_else(|| address.into())
+    }
+
+    /// Registers a session: its process id, and what is notified to end it.
+    pub fn add_session(&self) -> (i32, Arc<Event>) {
+        let process_id = self.next_process_id.fetch_add(1, Ordering::Relaxed);
+        let ended = Arc::new(Event::new());
+        self.sessions().insert(process_id, ended.clone());
+        (process_id, ended)
+    }
+
+    /// Forgets a session.
+    pub fn remove_session(&self, process_id: i32) {
+        self.sessions().remove(&process_id);
+    }
+
+    /// Ends a session. Says whether there was one.
+    pub fn end_session(&self, process_id: i32) -> bool {
+        let ended = self.sessions().remove(&process_id);
+        ended.is_some_and(|ended| ended.notify(usize::MAX) > 0)
+    }
+
+    /// Makes this the primary of `term` and commits the schema as its first
+    /// entry.
+    ///
+    /// # Errors
+    ///
+    /// When the schema is wrong.
+    pub fn start_primary(&self, term: Term, schema: &[String]) -> Result<(), EngineError> {
+        let mut inner = self.lock();
+        inner.role = InstanceRole::Primary;
+        inner.matched = true;
+        inner.fence_term = term;
+        inner.serving_term = term;
+        let mut statements = Vec::new();
+        for sql in schema {
+            let parsed = parse_statements(sql, &ColumnTypes::new(), &[]);
+            for statement in parsed.unwrap_or_default() {
+                statements.push(LoggedStatement {
+                    sql: statement.sql,
+                    parameters: Vec::new(),
+                });
+            }
+        }
+        inner.log.push(LogEntry { term, statements });
+        inner.apply_rest()
+    }
+
+    /// What the instance reports.
+    #[must_use]
+    pub fn status(&self) -> InstanceStatus {
+        let inner = self.lock();
+        let streaming = inner.role == InstanceRole::Replica
+            && inner
+                .heard_upstream_at
+                .is_some_and(|at| at.elapsed() < STREAMING_TIME);
+        InstanceStatus {
+            role: inner.role,
+            fence_term: inner.fence_term,
+            received: inner.point_at(inner.log.len()),
+            applied: inner.point_at(inner.applied),
+            streaming,
+            matched: inner.matched,
+        }
+    }
+
+    /// Takes nothing more from any term before `term`. Idempotent.
+    pub fn fence(&self, term: Term) {
+        let mut inner = self.lock();
+        if term <= inner.fence_term {
+            return;
+        }
+        inner.fence_term = term;
+        inner.upstream = None;
+        inner.heard_upstream_at = None;
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Becomes the primary of the term at which it is fenced. Idempotent.
+    ///
+    /// # Errors
+    ///
+    /// When it is fenced at another term.
+    pub fn promote(&self, term: Term) -> Result<(), InstanceError> {
+        let mut inner = self.lock();
+        if inner.fence_term != term {
+            return Err(InstanceError::Fenced {
+                held: inner.fence_term,
+                asked: term,
+            });
+        }
+        if inner.role == InstanceRole::Primary && inner.serving_term == term {
+            return Ok(());
+        }
+        if inner.role == InstanceRole::Primary {
+            inner.rebuild(&self.engine_name)?;
+        }
+        inner.role = InstanceRole::Primary;
+        inner.matched = true;
+        inner.serving_term = term;
+        inner.upstream = None;
+        // An entry of its own term: only what follows it may be confirmed.
+        inner.log.push(LogEntry {
+            term,
+            statements: Vec::new(),
+        });
+        inner.apply_rest()?;
+        self.changed.notify(usize::MAX);
+        Ok(())
+    }
+
+    /// Follows the primary of `term` at `address`. Idempotent.
+    ///
+    /// # Errors
+    ///
+    /// When it is fenced at a later term, or is itself that term's primary.
+    pub fn follow(&self, term: Term, address: &str) -> Result<(), InstanceError> {
+        let mut inner = self.lock();
+        let leads = inner.role == InstanceRole::Primary && inner.serving_term == term;
+        if term < inner.fence_term || leads {
+            return Err(InstanceError::Fenced {
+                held: inner.fence_term,
+                asked: term,
+            });
+        }
+        if inner.role == InstanceRole::Primary {
+            // Ends every open transaction of the former primary.
+            inner.rebuild(&self.engine_name)?;
+            inner.matched = false;
+        }
+        inner.role = InstanceRole::Replica;
+        inner.fence_term = term;
+        if inner.upstream.as_deref() != Some(address) {
+            inner.upstream = Some(address.into());
+            inner.heard_upstream_at = None;
+        }
+        self.changed.notify(usize::MAX);
+        Ok(())
+    }
+
+    /// Changes the faults.
+    pub fn set_faults(&self, faults: InstanceFaults) {
+        self.lock().faults = faults;
+    }
+
+    /// The present faults.
+    #[must_use]
+    pub fn faults(&self) -> InstanceFaults {
+        self.lock().faults.clone()
+    }
+
+    /// Sets the time that a statement on a table keeps its slot.
+    pub fn set_statement_time(&self, time: Duration) {
+        self.lock().statement_time = time;
+    }
+
+    /// The time that a statement on a table keeps its slot now.
+    #[must_use]
+    pub fn statement_time(&self) -> Duration {
+        let inner = self.lock();
+        inner.statement_time * inner.faults.slowness.max(1)
+    }
+
+    /// Number of the present in-memory database. A session whose number is
+    /// lower works on rows that were given up.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.lock().generation
+    }
+
+    /// Opens a session's connection to the present in-memory database.
+    ///
+    /// # Errors
+    ///
+    /// The engine's error.
+    pub fn open_session(self: &Arc<Self>) -> Result<(Connection, u64), EngineError> {
+        let generation = self.generation();
+        let connection = open_engine(&format!("{}-{generation}", self.engine_name), Some(self))?;
+        Ok((connection, generation))
+    }
+
+    /// Declared types of all columns.
+    #[must_use]
+    pub fn columns(&self) -> Arc<ColumnTypes> {
+        self.lock().columns.clone()
+    }
+
+    /// Whether a write may start here.
+    #[must_use]
+    pub fn accepts_writes(&self) -> bool {
+        self.lock().leads()
+    }
+
+    /// Commits the transaction open on `connection` and logs its statements.
+    /// A fence that came first wins.
+    ///
+    /// # Errors
+    ///
+    /// When the instance is not, or no longer, a primary that may commit; the
+    /// transaction is still open then.
+    pub fn commit(
+        &self,
+        connection: &Connection,
+        generation: u64,
+        statements: Vec<LoggedStatement>,
+    ) -> Result<(), InstanceError> {
+        let mut inner = self.lock();
+        if !inner.leads() || inner.generation != generation {
+            return Err(InstanceError::NotPrimary);
+        }
+        run_statement(connection, "COMMIT", &[])?;
+        let changes_schema = statements
+            .iter()
+            .any(|statement| changes_schema(&statement.sql));
+        let term = inner.serving_term;
+        inner.log.push(LogEntry { term, statements });
+        inner.applied = inner.log.len();
+        if changes_schema {
+            inner.columns = Arc::new(column_types(&inner.anchor)?);
+        }
+        self.changed.notify(usize::MAX);
+        Ok(())
+    }
+
+    /// Waits until something may have changed since the listener was made.
+    #[must_use]
+    pub fn listen(&self) -> EventListener {
+        self.changed.listen()
+    }
+
+    /// Answers a replica, or nothing when the replica has all there is.
+    #[must_use]
+    pub fn answer_pull(&self, request: &PullRequest) -> Option<PullAnswer> {
+        let inner = self.lock();
+        let term = inner.serving_term;
+        if inner.role != InstanceRole::Primary || term != request.term {
+            return Some(PullAnswer {
+                term: 0,
+                cut_to: None,
+                entries: Vec::new(),
+            });
+        }
+        let last = usize::try_from(request.last.position).unwrap_or(usize::MAX);
+        let shared = last.min(inner.log.len());
+        if inner.point_at(shared) != request.last {
+            let cut_to = inner.last_shared(shared, request.last.term);
+            return Some(PullAnswer {
+                term,
+                cut_to: Some(cut_to),
+                entries: Vec::new(),
+            });
+        }
+        let rest = &inner.log[shared..];
+        if rest.is_empty() {
+            return None;
+        }
+        let entries = rest[..rest.len().min(PULL_ENTRIES_MAX)].to_vec();
+        Some(PullAnswer {
+            term,
+            cut_to: None,
+            entries,
+        })
+    }
+
+    /// What to ask the upstream for, if this is a replica with an upstream.
+    #[must_use]
+    pub fn pull_request(&self) -> Option<(CompactString, PullRequest)> {
+        let inner = self.lock();
+        let upstream = inner.upstream.clone()?;
+        if inner.faults.receive_paused {
+            return None;
+        }
+        let last = inner.point_at(inner.log.len());
+        Some((
+            upstream,
+            PullRequest {
+                term: inner.fence_term,
+                last,
+            },
+        ))
+    }
+
+    /// Takes an upstream's answer over. One of another term changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// The engine's error.
+    pub fn take_pull(&self, request: &PullRequest, answer: PullAnswer) -> Result<(), EngineError> {
+        let mut inner = self.lock();
+        let current = inner.role == InstanceRole::Replica
+            && inner.upstream.is_some()
+            && answer.term == inner.fence_term
+            && request.term == inner.fence_term
+            && inner.point_at(inner.log.len()) == request.last;
+        if !current {
+            return Ok(());
+        }
+        inner.heard_upstream_at = Some(Instant::now());
+        if let Some(cut_to) = answer.cut_to {
+            inner.cut_log(cut_to, &self.engine_name)?;
+            return Ok(());
+        }
+        inner.matched = true;
+        inner.log.extend(answer.entries);
+        self.changed.notify(usize::MAX);
+        Ok(())
+    }
+
+    /// Applies entries up to `limit`; says whether all received are applied.
+    ///
+    /// # Errors
+    ///
+    /// The engine's error.
+    pub fn apply_to(&self, limit: usize) -> Result<(), EngineError> {
+        let mut inner = self.lock();
+        if inner.role != InstanceRole::Replica {
+            return Ok(());
+        }
+        let limit = limit.min(inner.log.len());
+        inner.apply_until(limit)
+    }
+
+    /// Number of entries received and number applied.
+    #[must_use]
+    pub fn progress(&self) -> (usize, usize) {
+        let inner = self.lock();
+        (inner.log.len(), inner.applied)
+    }
+}
+
+fn changes_schema(sql: &str) -> bool {
+    ["CREATE", "ALTER", "DROP"]
+        .iter()
+        .any(|word| sql.starts_with(word))
+}
+
+impl InstanceInner {
+    fn leads(&self) -> bool {
+        self.role == InstanceRole::Primary && self.serving_term == self.fence_term
+    }
+
+    fn point_at(&self, count: usize) -> LogPoint {
+        match count.checked_sub(1) {
+            Some(index) => LogPoint::new(self.log[index].term, count as u64),
+            None => LogPoint::default(),
+        }
+    }
+
+    /// The last entry at or before `limit` whose term is not after `term`.
+    fn last_shared(&self, limit: usize, term: Term) -> u64 {
+        let mut count = limit;
+        while count > 0 && self.log[count - 1].term > term {
+            count -= 1;
+        }
+        // The entry at `count` may still differ; the next pull tells.
+        (count as u64).min(limit.saturating_sub(1) as u64)
+    }
+
+    fn cut_log(&mut self, cut_to: u64, engine_name: &str) -> Result<(), EngineError> {
+        let length = usize::try_from(cut_to).unwrap_or(usize::MAX);
+        self.log.truncate(length);
+        if self.applied > self.log.len() {
+            self.rebuild(engine_name)?;
+        }
+        Ok(())
+    }
+
+    /// Starts a new in-memory database and applies the log to it again.
+    fn rebuild(&mut self, engine_name: &str) -> Result<(), EngineError> {
+        self.generation += 1;
+        self.anchor = open_engine(&format!("{engine_name}-{}", self.generation), None)?;
+        let limit = self.applied.min(self.log.len());
+        self.applied = 0;
+        self.apply_until(limit)
+    }
+
+    fn apply_rest(&mut self) -> Result<(), EngineError> {
+        self.apply_until(self.log.len())
+    }
+
+    fn apply_until(&mut self, limit: usize) -> Result<(), EngineError> {
+        if self.applied >= limit {
+            return Ok(());
+        }
+        let mut schema_changed = false;
+        run_statement(&self.anchor, "BEGIN IMMEDIATE", &[])?;
+        for entry in &self.log[self.applied..limit] {
+            for statement in &entry.statements {
+                let parameters: Vec<Value> = statement.parameters.iter().map(Value::from).collect();
+                run_statement(&self.anchor, &statement.sql, &parameters)?;
+                schema_changed |= changes_schema(&statement.sql);
+            }
+        }
+        run_statement(&self.anchor, "COMMIT", &[])?;
+        self.applied = limit;
+        if schema_changed {
+            self.columns = Arc::new(column_types(&self.anchor)?);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standin/src/database/sql.rs
@@ -0,0 +1,331 @@
+//! Reads PostgreSQL's SQL far enough to run it on the embedded engine.
+//!
+//! Statements are parsed by a library, casts are rewritten, and the types of
+//! parameters are worked out from casts and from the columns that they meet.
+
+use std::collections::BTreeMap;
+use std::ops::ControlFlow;
+
+use sqlparser::ast::{
+    BinaryOperator, CastKind, DataType, Expr, Insert, SelectItem, SetExpr, Statement, TableObject,
+    Value as SqlValue, visit_expressions, visit_expressions_mut, visit_relations,
+};
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::parser::{Parser, ParserError};
+
+use crate::database::value::{oid, oid_of_declaration};
+
+/// What a statement does, as far as the protocol cares.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StatementKind {
+    /// Returns rows and changes nothing.
+    Read,
+    /// Changes rows or the schema.
+    Write,
+    /// `BEGIN`.
+    Begin,
+    /// `COMMIT`.
+    Commit,
+    /// `ROLLBACK`.
+    Rollback,
+    /// Changes a setting; accepted and ignored.
+    Setting,
+}
+
+/// One parsed statement.
+#[derive(Debug, Clone)]
+pub struct ParsedStatement {
+    /// What it does.
+    pub kind: StatementKind,
+    /// Text for the embedded engine.
+    pub sql: String,
+    /// First word of the command tag, `INSERT 0` for an insert.
+    pub tag: String,
+    /// Whether it names a table, hence costs a slot's time.
+    pub uses_tables: bool,
+    /// Types of `$1`, `$2` and so on.
+    pub parameter_oids: Vec<u32>,
+    /// Types of result columns where the text itself tells.
+    pub column_oids: Vec<Option<u32>>,
+    /// Seconds asked for by `pg_sleep`.
+    pub sleep_seconds: f64,
+}
+
+/// Declared column types by lower-case name, of all tables.
+pub type ColumnTypes = BTreeMap<String, u32>;
+
+/// Parses a text of one or more statements.
+///
+/// # Errors
+///
+/// The parser's error, for the caller as a syntax error.
+pub fn parse_statements(
+    text: &str,
+    columns: &ColumnTypes,
+    given_oids: &[u32],
+) -> Result<Vec<ParsedStatement>, ParserError> {
+    let mut parsed = Vec::new();
+    for statement in Parser::parse_sql(&PostgreSqlDialect {}, text)? {
+        parsed.push(parse_one(statement, columns, given_oids));
+    }
+    Ok(parsed)
+}
+
+fn parse_one(
+    mut statement: Statement,
+    columns: &ColumnTypes,
+    given_oids: &[u32],
+) -> ParsedStatement {
+    let parameter_oids = parameter_oids(&statement, columns, given_oids);
+    let column_oids = column_oids(&statement);
+    let mut uses_tables = false;
+    let _ = visit_relations(&statement, |_| {
+        uses_tables = true;
+        ControlFlow::<()>::Continue(())
+    });
+    let sleep_seconds = sleep_seconds(&statement);
+    rewrite_casts(&mut statement);
+    let (kind, tag) = classify(&statement);
+    ParsedStatement {
+        kind,
+        sql: statement.to_string(),
+        tag: tag.to_owned(),
+        uses_tables,
+        parameter_oids,
+        column_oids,
+        sleep_seconds,
+    }
+}
+
+fn classify(statement: &Statement) -> (StatementKind, &'static str) {
+    match statement {
+        Statement::StartTransaction { .. } => (StatementKind::Begin, "BEGIN"),
+        Statement::Commit { .. } => (StatementKind::Commit, "COMMIT"),
+        Statement::Rollback {
+            savepoint: None, ..
+        } => (StatementKind::Rollback, "ROLLBACK"),
+        Statement::Set(_) => (StatementKind::Setting, "SET"),
+        Statement::Query(query) => match query.body.as_ref() {
+            SetExpr::Insert(_) => (StatementKind::Write, "INSERT 0"),
+            SetExpr::Update(_) => (StatementKind::Write, "UPDATE"),
+            SetExpr::Delete(_) => (StatementKind::Write, "DELETE"),
+            _ => (StatementKind::Read, "SELECT"),
+        },
+        Statement::Insert(_) => (StatementKind::Write, "INSERT 0"),
+        Statement::Update { .. } => (StatementKind::Write, "UPDATE"),
+        Statement::Delete(_) => (StatementKind::Write, "DELETE"),
+        Statement::Savepoint { .. } => (StatementKind::Write, "SAVEPOINT"),
+        Statement::ReleaseSavepoint { .. } => (StatementKind::Write, "RELEASE"),
+        Statement::Rollback { .. } => (StatementKind::Write, "ROLLBACK"),
+        Statement::CreateTable(_) => (StatementKind::Write, "CREATE TABLE"),
+        _ => (StatementKind::Write, "OK"),
+    }
+}
+
+/// `x::type` is unknown to the embedded engine, `CAST(x AS type)` is not.
+fn rewrite_casts(statement: &mut Statement) {
+    let _ = visit_expressions_mut(statement, |expr| {
+        if let Expr::Cast {
+            kind, data_type, ..
+        } = expr
+        {
+            *kind = CastKind::Cast;
+            if matches!(data_type, DataType::Bytea) {
+                *data_type = DataType::Blob(None);
+            }
+        }
+        ControlFlow::<()>::Continue(())
+    });
+}
+
+/// The number of a placeholder, `$3` is 3.
+fn placeholder(expr: &Expr) -> Option<usize> {
+    let Expr::Value(value) = expr else {
+        return None;
+    };
+    let SqlValue::Placeholder(name) = &value.value else {
+        return None;
+    };
+    name.strip_prefix('$')?.parse().ok()
+}
+
+fn column_name(expr: &Expr) -> Option<String> {
+    match expr {
+        Expr::Identifier(ident) => Some(ident.value.to_lowercase()),
+        Expr::CompoundIdentifier(parts) => parts.last().map(|ident| ident.value.to_lowercase()),
+        Expr::Nested(inner) => column_name(inner),
+        _ => None,
+    }
+}
+
+/// Collects what is known of each placeholder.
+#[derive(Debug, Default)]
+struct ParameterTypes {
+    oids: Vec<u32>,
+}
+
+impl ParameterTypes {
+    fn note(&mut self, number: usize, oid: u32) {
+        if number == 0 {
+            return;
+        }
+        if self.oids.len() < number {
+            self.oids.resize(number, 0);
+        }
+        if self.oids[number - 1] == 0 {
+            self.oids[number - 1] = oid;
+        }
+    }
+
+    fn note_pair(&mut self, columns: &ColumnTypes, left: &Expr, right: &Expr) {
+        let (Some(number), Some(name)) = (placeholder(left), column_name(right)) else {
+            return;
+        };
+        if let Some(oid) = columns.get(&name) {
+            self.note(number, *oid);
+        }
+    }
+}
+
+fn parameter_oids(statement: &Statement, columns: &ColumnTypes, given_oids: &[u32]) -> Vec<u32> {
+    let mut types = ParameterTypes {
+        oids: given_oids.to_vec(),
+    };
+    if let Some(insert) = insert_of(statement) {
+        note_insert(&mut types, insert, columns);
+    }
+    if let Statement::Update(update) = statement {
+        for assignment in &update.assignments {
+            let name = assignment.target.to_string().to_lowercase();
+            if let (Some(number), Some(oid)) = (placeholder(&assignment.value), columns.get(&name))
+            {
+                types.note(number, *oid);
+            }
+        }
+    }
+    let _ = visit_expressions(statement, |expr| {
+        note_expression(&mut types, expr, columns);
+        ControlFlow::<()>::Continue(())
+    });
+    let _ = visit_expressions(statement, |expr| {
+        if let Some(number) = placeholder(expr) {
+            types.note(number, oid::TEXT);
+        }
+        ControlFlow::<()>::Continue(())
+    });
+    for oid in &mut types.oids {
+        if *oid == 0 {
+            *oid = oid::TEXT;
+        }
+    }
+    types.oids
+}
+
+fn note_expression(types: &mut ParameterTypes, expr: &Expr, columns: &ColumnTypes) {
+    match expr {
+        Expr::Cast {
+            expr, data_type, ..
+        } => {
+            if let Some(number) = placeholder(expr) {
+                types.note(number, oid_of_declaration(&data_type.to_string()));
+            }
+        }
+        Expr::BinaryOp { left, right, op } => {
+            types.note_pair(columns, left, right);
+            types.note_pair(columns, right, left);
+            let arithmetic = matches!(op, BinaryOperator::Plus | BinaryOperator::Minus);
+            for side in [left, right] {
+                if let (true, Some(number)) = (arithmetic, placeholder(side)) {
+                    types.note(number, oid::INT8);
+                }
+            }
+        }
+        Expr::Between {
+            expr, low, high, ..
+        } => {
+            types.note_pair(columns, low, expr);
+            types.note_pair(columns, high, expr);
+        }
+        _ => {}
+    }
+}
+
+fn insert_of(statement: &Statement) -> Option<&Insert> {
+    match statement {
+        Statement::Insert(insert) => Some(insert),
+        _ => None,
+    }
+}
+
+fn note_insert(types: &mut ParameterTypes, insert: &Insert, columns: &ColumnTypes) {
+    let TableObject::TableName(_) = &insert.table else {
+        return;
+    };
+    let Some(SetExpr::Values(values)) = insert.source.as_ref().map(|query| query.body.as_ref())
+    else {
+        return;
+    };
+    for row in &values.rows {
+        for (column, expr) in insert.columns.iter().zip(row.content.iter()) {
+            let name = column.to_string().to_lowercase();
+            if let (Some(number), Some(oid)) = (placeholder(expr), columns.get(&name)) {
+                types.note(number, *oid);
+            }
+        }
+    }
+}
+
+fn column_oids(statement: &Statement) -> Vec<Option<u32>> {
+    let Statement::Query(query) = statement else {
+        return Vec::new();
+    };
+    let SetExpr::Select(select) = query.body.as_ref() else {
+        return Vec::new();
+    };
+    let mut oids = Vec::new();
+    for item in &select.projection {
+        let (SelectItem::UnnamedExpr(expr) | SelectItem::ExprWithAlias { expr, .. }) = item else {
+            // A wildcard stands for an unknown number of columns.
+            return Vec::new();
+        };
+        oids.push(expression_oid(expr));
+    }
+    oids
+}
+
+fn expression_oid(expr: &Expr) -> Option<u32> {
+    match expr {
+        Expr::Cast { data_type, .. } => Some(oid_of_declaration(&data_type.to_string())),
+        Expr::Nested(inner) => expression_oid(inner),
+        Expr::Value(value) => match &value.value {
+            SqlValue::Number(text, _) if text.contains('.') => Some(oid::FLOAT8),
+            SqlValue::Number(..) => Some(oid::INT4),
+            SqlValue::Boolean(_) => Some(oid::BOOL),
+            _ => None,
+        },
+        Expr::Function(function) => match function.name.to_string().to_lowercase().as_str() {
+            "count" | "sum" => Some(oid::INT8),
+            _ => None,
+        },
+        Expr::BinaryOp { left, op, right } => match op {
+            BinaryOperator::Eq | BinaryOperator::Lt | BinaryOperator::Gt => Some(oid::BOOL),
+            _ => expression_oid(left).or_else(|| expression_oid(right)),
+        },
+        _ => None,
+    }
+}
+
+fn sleep_seconds(statement: &Statement) -> f64 {
+    let mut seconds = 0.0;
+    let _ = visit_expressions(statement, |expr| {
+        if let Expr::Function(function) = expr
+            && function.name.to_string().eq_ignore_ascii_case("pg_sleep")
+        {
+            let text = function.args.to_string();
+            let number = text.trim_matches(|c| c == '(' || c == ')').parse();
+            seconds += number.unwrap_or(0.0);
+        }
+        ControlFlow::<()>::Continue(())
+    });
+    seconds
+}
--- /dev/null
+++ b/crates/standin/src/forwarder.rs
@@ -0,0 +1,231 @@
+//! A network between two processes that can be made bad.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use event_listener::Event;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use smol::Timer;
+use smol::net::{TcpListener, TcpStream};
+
+/// Bytes read at once.
+const CHUNK_BYTES: usize = 16 << 10;
+/// Bytes under way in one direction before the sender is held back.
+const WINDOW_BYTES: usize = 1 << 20;
+
+/// What the network does to the bytes that pass.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ForwarderFaults {
+    /// Time that each byte is under way.
+    pub delay: Duration,
+    /// New connections are refused, open ones closed.
+    pub cut: bool,
+    /// New connections work; those open at the switch go silent for good.
+    pub silence_open: bool,
+    /// Nothing passes and nobody is told, on any connection.
+    pub silent: bool,
+}
+
+#[derive(Debug)]
+struct ForwarderState {
+    target: SocketAddr,
+    faults: Mutex<ForwarderFaults>,
+    changed: Event,
+    /// Connections numbered below this have gone silent for good.
+    silenced_below: Mutex<u64>,
+    bytes: std::sync::atomic::AtomicU64,
+}
+
+impl ForwarderState {
+    fn faults(&self) -> ForwarderFaults {
+        self.faults
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn is_silent(&self, number: u64) -> bool {
+        let below = *self
+            .silenced_below
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        number < below || self.faults().silent
+    }
+}
+
+/// Listens on a port of its own and passes bytes to a target.
+#[derive(Debug)]
+pub struct NetworkForwarder {
+    address: SocketAddr,
+    state: Arc<ForwarderState>,
+    next_number: Arc<std::sync::atomic::AtomicU64>,
+    _task: smol::Task<()>,
+}
+
+impl NetworkForwarder {
+    /// Starts to forward to `target`.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be listened on.
+    pub async fn start(target: SocketAddr, faults: ForwarderFaults) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(ForwarderState {
+            target,
+            faults: Mutex::new(faults),
+            changed: Event::new(),
+            silenced_below: Mutex::new(0),
+            bytes: std::sync::atomic::AtomicU64::new(0),
+        });
+        let next_number = Arc::new(std::sync::atomic::AtomicU64::new(0));
+        let task =
+            fulmarrill_runtime::spawn(accept_loop(listener, state.clone(), next_number.clone()));
+        Ok(Self {
+            address,
+            state,
+            next_number,
+            _task: task,
+        })
+    }
+
+    /// The address to connect to in place of the target's.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what happens to the bytes, also on open connections.
+    pub fn set_faults(&self, faults: ForwarderFaults) {
+        if faults.silence_open {
+            let next = self.next_number.load(std::sync::atomic::Ordering::SeqCst);
+            *self
+                .state
+                .silenced_below
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner) = next;
+        }
+        *self
+            .state
+            .faults
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = faults;
+        self.state.changed.notify(usize::MAX);
+    }
+
+    /// Bytes passed so far, both ways.
+    #[must_use]
+    pub fn bytes_passed(&self) -> u64 {
+        self.state.bytes.load(std::sync::atomic::Ordering::Relaxed)
+    }
+}
+
+async fn accept_loop(
+    listener: TcpListener,
+    state: Arc<ForwarderState>,
+    next_number: Arc<std::sync::atomic::AtomicU64>,
+) {
+    let executor = smol::Executor::new();
+    executor
+        .run(async {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    continue;
+                };
+                let number = next_number.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+                executor
+                    .spawn(forward(stream, state.clone(), number))
+                    .detach();
+            }
+        })
+        .await;
+}
+
+async fn forward(caller: TcpStream, state: Arc<ForwarderState>, number: u64) {
+    if state.faults().cut {
+        return;
+    }
+    caller.set_nodelay(true).ok();
+    let Ok(target) = TcpStream::connect(state.target).await else {
+        return;
+    };
+    target.set_nodelay(true).ok();
+    let there = pump(caller.clone(), target.clone(), &state, number);
+    let back = pump(target, caller, &state, number);
+    let both = smol::future::or(there, back);
+    smol::future::or(both, wait_for_cut(&state)).await;
+}
+
+async fn wait_for_cut(state: &ForwarderState) {
+    loop {
+        let listener = state.changed.listen();
+        if state.faults().cut {
+            return;
+        }
+        listener.await;
+    }
+}
+
+/// Passes bytes one way, each chunk after the delay in force.
+async fn pump(mut from: TcpStream, mut to: TcpStream, state: &ForwarderState, number: u64) {
+    let queue: Mutex<VecDeque<(Instant, Vec<u8>)>> = Mutex::default();
+    let arrived = Event::new();
+    let reader = async {
+        let mut chunk = vec![0; CHUNK_BYTES];
+        loop {
+            let count = match from.read(&mut chunk).await {
+                Ok(count) if count > 0 => count,
+                _ => break,
+            };
+            let due = Instant::now() + state.faults().delay;
+            let waiting = {
+                let mut queue = queue.lock().unwrap_or_else(PoisonError::into_inner);
+                queue.push_back((due, chunk[..count].to_vec()));
+                queue.len()
+            };
+            arrived.notify(usize::MAX);
+            if waiting * CHUNK_BYTES > WINDOW_BYTES {
+                Timer::after(Duration::from_millis(1)).await;
+            }
+        }
+        // Lets the writer finish what is under way.
+        loop {
+            if queue
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .is_empty()
+            {
+                return;
+            }
+            Timer::after(Duration::from_millis(1)).await;
+        }
+    };
+    let writer = async {
+        loop {
+            let listener = arrived.listen();
+            let next = queue
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .pop_front();
+            let Some((due, bytes)) = next else {
+                listener.await;
+                continue;
+            };
+            Timer::at(due).await;
+            while state.is_silent(number) {
+                state.changed.listen().await;
+            }
+            if to.write_all(&bytes).await.is_err() {
+                return;
+            }
+            let count = bytes.len() as u64;
+            state
+                .bytes
+                .fetch_add(count, std::sync::atomic::Ordering::Relaxed);
+        }
+    };
+    smol::future::or(reader, writer).await;
+}
--- /dev/null
+++ b/src/commands.rs
@@ -0,0 +1,63 @@
+//! The commands, one module for each group.
+
+mod check;
+mod demo;
+mod export;
+mod operate;
+mod replay;
+mod serve;
+mod standin;
+
+use std::path::Path;
+
+use crate::error::CommandError;
+use crate::flags::Command;
+
+/// Runs a command to its end.
+///
+/// # Errors
+///
+/// Why it failed.
+pub fn run(command: Command) -> Result<(), CommandError> {
+    match command {
+        Command::Serve { settings } => serve::run(&settings),
+        Command::Check { file } => check::run(&file),
+        Command::Apply {
+            host,
+            version,
+            file,
+        } => operate::apply(&host, version, &file),
+        Command::Status { host } => operate::show(&host, "/status"),
+        Command::State { address } => operate::show(&address, "/state"),
+        Command::Export { platform, customer } => export::run(&platform, &customer),
+        Command::Replay { traces } => replay::run(&traces),
+        Command::StandinPlatform { listen } => standin::run_platform(&listen),
+        Command::StandinDatabase {
+            name,
+            listen,
+            primary,
+            slots,
+            connections,
+            schema,
+        } => {
+            let schema: Vec<&str> = schema.iter().map(String::as_str).collect();
+            let mut options = fulmarrill_standin::InstanceOptions::new(&name)
+                .with_listen(&listen)
+                .with_limits(slots, connections)
+                .with_schema(&schema);
+            if let Some(term) = primary {
+                options = options.with_primary(term);
+            }
+            standin::run_database(options)
+        }
+        Command::Demo { seconds, listen } => demo::run(seconds, listen),
+    }
+}
+
+/// Reads a file as text.
+fn read_file(path: &Path) -> Result<String, CommandError> {
+    std::fs::read_to_string(path).map_err(|source| CommandError::File {
+        path: path.display().to_string(),
+        source,
+    })
+}
--- /dev/null
+++ b/src/commands/demo.rs
@@ -0,0 +1,147 @@
+//! `demo`: a whole fleet on loopback, loaded while a primary fails.
+
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use fulmarrill_fleet::{FleetLayout, LocalFleet};
+use fulmarrill_load::{
+    CallerPool, LoadKind, LoadPlan, LoadReport, LoadStream, RequestEnd, run_load,
+};
+use smol::Timer;
+
+use crate::error::CommandError;
+use crate::logging;
+
+/// Database that is loaded and whose primary is failed.
+const DATABASE: &str = "registry-1";
+/// Seed of the arrivals.
+const SEED: u64 = 20_261;
+/// Time for reading back what was written.
+const READ_BACK_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Runs the demonstration; fails if a write was lost or doubled.
+pub fn run(seconds: u64, listen: bool) -> Result<(), CommandError> {
+    logging::start("error");
+    smol::block_on(run_demo(seconds.max(4), listen))
+}
+
+async fn run_demo(seconds: u64, listen: bool) -> Result<(), CommandError> {
+    println!("Starting a platform, 9 database instances and 9 hosts on 127.0.0.1 ...");
+    let mut fleet = LocalFleet::start(FleetLayout::odznak()).await?;
+    let addresses: Vec<CompactString> = fleet
+        .host_names()
+        .iter()
+        .map(|name| fleet.caller_address(name))
+        .collect();
+    println!(
+        "Ready. Loading {DATABASE} for {seconds} s through {} hosts ...",
+        addresses.len()
+    );
+    let plan = make_plan(addresses.clone(), Duration::from_secs(seconds));
+    let primary = fleet.primary_of(DATABASE).unwrap_or_default();
+    let load = smol::spawn({
+        let plan = plan.clone();
+        async move { run_load(&plan).await }
+    });
+    Timer::after(Duration::from_secs(seconds / 2)).await;
+    println!("Killing {primary}, the primary of {DATABASE} ...");
+    fleet.kill_instance(&primary);
+    let killed_at = Instant::now();
+    while fleet.primary_of(DATABASE).is_none_or(|now| now == primary)
+        && killed_at.elapsed() < READ_BACK_TIMEOUT
+    {
+        Timer::after(Duration::from_millis(5)).await;
+    }
+    let successor = fleet.primary_of(DATABASE).unwrap_or_default();
+    println!(
+        "{successor} is the primary after {} ms.",
+        killed_at.elapsed().as_millis()
+    );
+    let report = load.await;
+    let replica_share = replica_share(&fleet);
+    println!(
+        "Reading back {} acknowledged writes ...",
+        report.acknowledged
+    );
+    let held = read_back(&addresses).await?;
+    let faults = plan.ledger().compare(&held);
+    show_report(&report, replica_share);
+    for fault in &faults {
+        println!("FAULT: {fault}");
+    }
+    if listen {
+        println!("Callers may connect to any of {}", addresses.join(", "));
+        println!(
+            "For example: psql 'host=127.0.0.1 port={} dbname={DATABASE}'",
+            port_of(&addresses[0])
+        );
+        println!("End with Ctrl-C.");
+        std::future::pending::<()>().await;
+    }
+    if faults.is_empty() {
+        println!("No acknowledged write was lost, none was doubled.");
+        return Ok(());
+    }
+    Err(CommandError::Io(std::io::Error::other(format!(
+        "{} faults",
+        faults.len()
+    ))))
+}
+
+fn port_of(address: &str) -> &str {
+    address.rsplit(':').next().unwrap_or_default()
+}
+
+fn make_plan(addresses: Vec<CompactString>, time: Duration) -> LoadPlan {
+    LoadPlan::new(DATABASE, addresses, SEED)
+        .with_time(time)
+        .with_stream(LoadStream::new("renewals", LoadKind::WriteThenRead, 30.0))
+        .with_stream(LoadStream::new("scans", LoadKind::Read, 200.0))
+        .with_stream(LoadStream::new("counter", LoadKind::Transaction, 15.0))
+        .with_stream(LoadStream::new("reports", LoadKind::SlowRead, 20.0))
+}
+
+/// Share of reads that replicas served, by the hosts' metrics.
+fn replica_share(fleet: &LocalFleet) -> f64 {
+    let mut by_replica = 0.0;
+    let mut all = 0.0;
+    for name in fleet.host_names() {
+        let Some(host) = fleet.host(&name) else {
+            continue;
+        };
+        let counts = host.context().read_counts();
+        by_replica += counts.by_replica;
+        all += counts.all;
+    }
+    if all > 0.0 { by_replica / all } else { 0.0 }
+}
+
+async fn read_back(addresses: &[CompactString]) -> Result<Vec<CompactString>, CommandError> {
+    let pool = CallerPool::new(addresses, DATABASE, "counter", "city");
+    let deadline = Instant::now() + READ_BACK_TIMEOUT;
+    let end = pool
+        .run(&["SELECT id FROM renewals".into()], None, deadline)
+        .await;
+    match end {
+        RequestEnd::Served(column) => Ok(column
+            .into_iter()
+            .flatten()
+            .map(CompactString::from)
+            .collect()),
+        other => Err(CommandError::Untrue(format!(
+            "writes cannot be read back: {other:?}"
+        ))),
+    }
+}
+
+fn show_report(report: &LoadReport, replica_share: f64) {
+    println!();
+    print!("{}", report.show_table());
+    println!();
+    println!("reads served by replicas   {:.1} %", 100.0 * replica_share);
+    println!(
+        "longest gap between writes {} ms",
+        report.write_gap.as_millis()
+    );
+    println!("acknowledged writes        {}", report.acknowledged);
+}
--- /dev/null
+++ b/src/commands/export.rs
@@ -0,0 +1,45 @@
+//! `export`: one customer's record of requests, verified.
+
+use std::io::Write;
+use std::time::{Duration, Instant};
+
+use fulmarrill_platform::PlatformClient;
+use fulmarrill_records::{RecordSegment, verify_segments};
+
+use crate::error::CommandError;
+
+/// Kind of the objects that hold segments.
+const RECORD_KIND: &str = "record";
+/// Time for reading the store.
+const STORE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Writes the record to standard output and its heads to standard error.
+pub fn run(platform: &str, customer: &str) -> Result<(), CommandError> {
+    let client = PlatformClient::new(platform);
+    let deadline = Instant::now() + STORE_TIMEOUT;
+    let list = smol::block_on(client.watch(RECORD_KIND, 0, Duration::ZERO, deadline))?;
+    let mut segments: Vec<RecordSegment> = Vec::new();
+    for object in list.objects {
+        let held: Vec<RecordSegment> = serde_json::from_value(object.value).map_err(|error| {
+            CommandError::Untrue(format!(
+                "record object {} cannot be read: {error}",
+                object.name
+            ))
+        })?;
+        segments.extend(
+            held.into_iter()
+                .filter(|segment| segment.customer == customer),
+        );
+    }
+    let verified =
+        verify_segments(&segments).map_err(|fault| CommandError::Untrue(fault.to_string()))?;
+    let mut out = std::io::stdout().lock();
+    for (host, record) in &verified.records {
+        let line = serde_json::json!({ "host": host, "record": record });
+        writeln!(out, "{line}")?;
+    }
+    for (host, (last, _)) in &verified.heads {
+        eprintln!("chain of {host}: whole up to record {last}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/commands/serve.rs
@@ -0,0 +1,31 @@
+//! `serve`: one host until it is told to leave.
+
+use std::path::Path;
+
+use fulmarrill_document::HostSettings;
+use fulmarrill_host::HostProcess;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::commands::read_file;
+use crate::error::CommandError;
+use crate::logging;
+
+/// Runs a host; ends in order on SIGTERM or SIGINT.
+pub fn run(path: &Path) -> Result<(), CommandError> {
+    let settings =
+        HostSettings::parse(&read_file(path)?).map_err(|faults| CommandError::Refused {
+            path: path.display().to_string(),
+            faults,
+        })?;
+    logging::start(&settings.log_level);
+    let threads = usize::try_from(settings.traffic_threads).unwrap_or(1);
+    fulmarrill_runtime::start_threads(threads);
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let host = smol::block_on(HostProcess::start(settings))?;
+    let addresses = serde_json::to_string(host.addresses()).unwrap_or_default();
+    println!("{addresses}");
+    signals.forever().next();
+    smol::block_on(host.leave());
+    Ok(())
+}
--- /dev/null
+++ b/src/flags.rs
@@ -0,0 +1,239 @@
+//! Every flag of every command, and the help that comes from here.
+
+use std::path::PathBuf;
+
+use bpaf::{OptionParser, Parser, construct, long, positional};
+
+/// A command with its flags.
+#[derive(Debug, Clone)]
+pub enum Command {
+    /// Runs one host.
+    Serve {
+        /// Settings file.
+        settings: PathBuf,
+    },
+    /// Checks a file.
+    Check {
+        /// The file.
+        file: PathBuf,
+    },
+    /// Puts an operators' document in force.
+    Apply {
+        /// Operator port of any host.
+        host: String,
+        /// Version that the change was made from.
+        version: Option<u64>,
+        /// The file.
+        file: PathBuf,
+    },
+    /// Shows on how many hosts the document is in force.
+    Status {
+        /// Operator port of any host.
+        host: String,
+    },
+    /// Shows one process's state.
+    State {
+        /// Operator port of the process.
+        address: String,
+    },
+    /// Writes a customer's record of requests.
+    Export {
+        /// Address of the platform.
+        platform: String,
+        /// The customer.
+        customer: String,
+    },
+    /// Replays a recorded trace.
+    Replay {
+        /// The traces.
+        traces: Vec<PathBuf>,
+    },
+    /// Runs the platform's stand-in.
+    StandinPlatform {
+        /// Address to listen on.
+        listen: String,
+    },
+    /// Runs a database instance's stand-in.
+    StandinDatabase {
+        /// Name of the instance.
+        name: String,
+        /// Address to listen on.
+        listen: String,
+        /// Term to be the primary of from the start.
+        primary: Option<u64>,
+        /// Statements that it runs at the same time.
+        slots: usize,
+        /// Connections that it accepts.
+        connections: usize,
+        /// Statements of the schema.
+        schema: Vec<String>,
+    },
+    /// Starts everything on loopback and fails a primary under load.
+    Demo {
+        /// Seconds of load.
+        seconds: u64,
+        /// Whether to stay up for callers afterwards.
+        listen: bool,
+    },
+}
+
+fn host_flag() -> impl Parser<String> {
+    long("host")
+        .help("Operator port of any host, IP:PORT")
+        .argument("ADDRESS")
+}
+
+fn listen_flag() -> impl Parser<String> {
+    long("listen")
+        .help("Address to listen on; port 0 lets the system pick one")
+        .argument("ADDRESS")
+        .fallback("127.0.0.1:0".to_owned())
+}
+
+fn serve() -> impl Parser<Command> {
+    let settings = long("settings")
+        .help("Settings file, JSON with comments")
+        .argument("FILE");
+    construct!(Command::Serve { settings })
+        .to_options()
+        .descr("Runs one host: entry for callers and owner of instances")
+        .footer("Example: fulmarrill serve --settings h1.json\nPrints one line of JSON with the addresses it listens on. Ends in order on SIGTERM.")
+        .command("serve")
+}
+
+fn check() -> impl Parser<Command> {
+    let file = positional("FILE").help("Operators' document or settings file");
+    construct!(Command::Check { file })
+        .to_options()
+        .descr("Checks an operators' document or a settings file as a whole")
+        .footer("Example: fulmarrill check operators.json\nExit code 0 if it is right, 2 with every fault by its path if not.")
+        .command("check")
+}
+
+fn apply() -> impl Parser<Command> {
+    let host = host_flag();
+    let version = long("version")
+        .help("Version that the change was made from; without it the one in force now")
+        .argument("N")
+        .optional();
+    let file = positional("FILE").help("Operators' document");
+    construct!(Command::Apply { host, version, file })
+        .to_options()
+        .descr("Puts an operators' document in force, or changes nothing")
+        .footer("Example: fulmarrill apply --host 127.0.0.1:7103 operators.json\nExit code 2 if the document is refused, 3 if somebody else changed it first.")
+        .command("apply")
+}
+
+fn status() -> impl Parser<Command> {
+    let host = host_flag();
+    construct!(Command::Status { host })
+        .to_options()
+        .descr("Shows the document's version and on how many hosts it is in force")
+        .footer("Example: fulmarrill status --host 127.0.0.1:7103")
+        .command("status")
+}
+
+fn state() -> impl Parser<Command> {
+    let address = positional("ADDRESS").help("Operator port of the process, IP:PORT");
+    construct!(Command::State { address })
+        .to_options()
+        .descr("Shows one process's state as JSON")
+        .footer("Example: fulmarrill state 127.0.0.1:7103")
+        .command("state")
+}
+
+fn export() -> impl Parser<Command> {
+    let platform = long("platform")
+        .help("Address of the platform, IP:PORT")
+        .argument("ADDRESS");
+    let customer = positional("CUSTOMER").help("Name of the customer");
+    construct!(Command::Export { platform, customer })
+        .to_options()
+        .descr("Writes a customer's record of requests as JSON lines, verified")
+        .footer("Example: fulmarrill export --platform 127.0.0.1:7000 stall-7 > stall-7.jsonl\nExit code 2 if the record is not whole; the place is named.")
+        .command("export")
+}
+
+fn replay() -> impl Parser<Command> {
+    let traces = positional("TRACE")
+        .help("Recorded traces, JSON lines")
+        .some("a trace is needed");
+    construct!(Command::Replay { traces })
+        .to_options()
+        .descr("Replays recorded traces against their stated outcomes")
+        .footer("Example: fulmarrill replay tests/traces/*.jsonl\nExit code 2 at the first outcome that differs.")
+        .command("replay")
+}
+
+fn standin_platform() -> impl Parser<Command> {
+    let listen = listen_flag();
+    construct!(Command::StandinPlatform { listen })
+        .to_options()
+        .descr("Runs the platform's stand-in")
+        .footer("Example: fulmarrill standin platform --listen 127.0.0.1:7000\nFaults are switched by POST /v1/faults.")
+        .command("platform")
+}
+
+fn standin_database() -> impl Parser<Command> {
+    let name = long("name").help("Name of the instance").argument("NAME");
+    let listen = listen_flag();
+    let primary = long("primary")
+        .help("Be the primary of this term")
+        .argument("TERM")
+        .optional();
+    let slots = long("slots")
+        .help("Statements at the same time")
+        .argument("N")
+        .fallback(2);
+    let connections = long("connections")
+        .help("Connections accepted")
+        .argument("N")
+        .fallback(16);
+    let schema = long("schema")
+        .help("Statement of the schema; may be repeated")
+        .argument("SQL")
+        .many();
+    construct!(Command::StandinDatabase { name, listen, primary, slots, connections, schema })
+        .to_options()
+        .descr("Runs a database instance's stand-in")
+        .footer("Example: fulmarrill standin database --name registry-1-a --primary 1 --schema 'CREATE TABLE t (id bigint)'")
+        .command("database")
+}
+
+fn standin() -> impl Parser<Command> {
+    let platform = standin_platform();
+    let database = standin_database();
+    construct!([platform, database])
+        .to_options()
+        .descr("Runs a stand-in as a process of its own")
+        .footer("Example: fulmarrill standin platform --help")
+        .command("standin")
+}
+
+fn demo() -> impl Parser<Command> {
+    let seconds = long("seconds")
+        .help("Seconds of load")
+        .argument("N")
+        .fallback(12);
+    let listen = long("listen")
+        .help("Stay up afterwards, so that a driver can connect")
+        .switch();
+    construct!(Command::Demo { seconds, listen })
+        .to_options()
+        .descr("Starts a whole fleet on loopback, loads it and fails a primary")
+        .footer("Example: fulmarrill demo --listen\nExit code 1 if a write was lost or doubled.")
+        .command("demo")
+}
+
+/// The parser of the whole command line.
+pub fn command() -> OptionParser<Command> {
+    let (serve, check, apply, status) = (serve(), check(), apply(), status());
+    let (state, export, replay) = (state(), export(), replay());
+    let (standin, demo) = (standin(), demo());
+    construct!([
+        serve, check, apply, status, state, export, replay, standin, demo
+    ])
+    .to_options()
+    .descr("A database proxy with session consistency")
+    .version(env!("CARGO_PKG_VERSION"))
+}
