Confirm only points of the tracker's own term; judge a new primary afresh

Cause: 'demo' reported acknowledged writes as lost and refused writes as present. A commit of term 1 waited for its confirmation while the group moved to term 2; its point compares as lower than a confirmed point of term 2 and was taken for confirmed. The same let a key be 'given up' on the old primary. Ruled out by looking the writes up in the instances' logs: the promotion (it chose the newest fenced log) and the reading back. Also found: the successor was replaced at once, since the silence of its predecessor was held against it; one database stand-in thread waited inside the engine's lock while a transaction was open; steps of open transactions waited for slots that were taken by work waiting for their locks. Change: a point is confirmed only in its own term; the monitor starts anew for each primary and term; the stand-in keeps a copy for readers and one for the writer; steps of transactions pass the slots; steps without rows do not wait for a confirmation.

--- a/crates/host/src/owner/work.rs
+++ b/crates/host/src/owner/work.rs
@@ -414,6 +414,17 @@
     Some(WorkAnswer::not_run(NotRunReason::NotPrimary, text))
 }
 
+/// Whether an answer shows what others committed, or ends a transaction. A step
+/// without rows shows nothing: the end of its transaction is confirmed anyway,
+/// and waiting here would keep the transaction's locks for longer.
+fn shows_something(answer: &ExchangeAnswer) -> bool {
+    if answer.status == fulmarrill_pg::STATUS_FAILED {
+        return false;
+    }
+    let has_rows = || answer.split().iter().any(|message| message[0] == b'D');
+    answer.status == STATUS_IDLE || has_rows()
+}
+
 /// Answers once the point that the database reported has been confirmed.
 pub(super) async fn confirm_answer(
     work: &WorkContext,
@@ -422,8 +433,7 @@
 ) -> WorkAnswer {
     let status = &checked.status;
     let point = status.received;
-    let failed = checked.answer.status == fulmarrill_pg::STATUS_FAILED;
-    if !failed {
+    if shows_something(&checked.answer) {
         if status.role != InstanceRole::Primary || point.term != work.group.term {
             return WorkAnswer::unknown("the primary was replaced while the request ran");
         }
--- a/crates/load/src/ledger.rs
+++ b/crates/load/src/ledger.rs
@@ -28,6 +28,16 @@
     RanAfterAll(CompactString),
 }
 
+impl LedgerFault {
+    /// Id of the write.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        match self {
+            Self::Lost(id) | Self::Doubled(id, _) | Self::RanAfterAll(id) => id,
+        }
+    }
+}
+
 /// The writes of a run.
 #[derive(Debug, Default)]
 pub struct WriteLedger {
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -147,6 +147,20 @@
         text
     }
 
+    /// The messages of refusals and errors, the most frequent first.
+    #[must_use]
+    pub fn show_messages(&self, most: usize) -> String {
+        let mut text = String::new();
+        for (name, stream) in &self.streams {
+            let mut messages: Vec<_> = stream.messages.iter().collect();
+            messages.sort_by(|a, b| b.1.cmp(a.1));
+            for (message, count) in messages.into_iter().take(most) {
+                let _ = writeln!(text, "{name}: {count} times: {message}");
+            }
+        }
+        text
+    }
+
     /// The same as JSON.
     #[must_use]
     pub fn to_json(&self) -> Value {
--- a/crates/replication/src/confirm.rs
+++ b/crates/replication/src/confirm.rs
@@ -100,9 +100,14 @@
     }
 
     /// Whether a commit at `point` may be acknowledged.
+    ///
+    /// A point of an earlier term never is, though it compares as lower: the
+    /// later term may have begun without it.
     #[must_use]
     pub fn is_confirmed(&self, point: LogPoint) -> bool {
-        self.confirmed.is_some_and(|confirmed| point <= confirmed)
+        self.confirmed.is_some_and(|confirmed| {
+            point.term == confirmed.term && point.position <= confirmed.position
+        })
     }
 
     /// Whether some instance has been fenced past the group's term, so that
--- a/crates/replication/src/monitor.rs
+++ b/crates/replication/src/monitor.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use fulmarrill_position::{InstanceName, InstanceRole, InstanceStatus};
+use fulmarrill_position::{InstanceName, InstanceRole, InstanceStatus, Term};
 
 use crate::group::DatabaseGroup;
 
@@ -43,6 +43,8 @@
     isolated_since: Option<Instant>,
     unled_since: Option<Instant>,
     last_check_at: Option<Instant>,
+    /// The primary and term that the times above are about.
+    judged: Option<(InstanceName, Term)>,
 }
 
 impl GroupMonitor {
@@ -56,6 +58,7 @@
             isolated_since: None,
             unled_since: None,
             last_check_at: None,
+            judged: None,
         }
     }
 
@@ -94,6 +97,7 @@
             return self.check_unled(now, group);
         };
         self.unled_since = None;
+        self.notice_change(primary, group.term);
         // An instance that lost the role, as one that was set up anew, is no
         // better than a silent one.
         let leads = |status: &InstanceStatus| {
@@ -119,6 +123,19 @@
         self.last_check_at = Some(now);
     }
 
+    /// A new primary is judged from now on: what was heard of it before, as a
+    /// replica, and how long its predecessor was silent, say nothing about it.
+    fn notice_change(&mut self, primary: &str, term: Term) {
+        let same = |(name, judged): &(InstanceName, Term)| name == primary && *judged == term;
+        if self.judged.as_ref().is_some_and(same) {
+            return;
+        }
+        self.judged = Some((primary.into(), term));
+        self.views.remove(primary);
+        self.primary_lost_since = None;
+        self.isolated_since = None;
+    }
+
     fn check_unled(&mut self, now: Instant, group: &DatabaseGroup) -> MonitorVerdict {
         let since = *self.unled_since.get_or_insert(now);
         if now.saturating_duration_since(since) < self.silence_limit {
--- a/crates/schedule/src/queue.rs
+++ b/crates/schedule/src/queue.rs
@@ -136,15 +136,18 @@
         Ok(())
     }
 
-    /// The next item to start, if a slot is free.
+    /// The next item to start: a step of an open transaction at once, anything
+    /// else if a slot is free.
     pub fn next(&mut self, now: Instant) -> Option<WorkItem> {
-        if self.running >= self.slots {
-            return None;
-        }
+        // The work in the slots may be waiting for a lock that an open
+        // transaction holds, so its next step must not wait for a slot.
         if let Some(item) = self.continuing.pop_front() {
             self.start(item.rank);
             return Some(item);
         }
+        if self.running >= self.slots {
+            return None;
+        }
         loop {
             let rank = self.choose_rank()?;
             let item = self.ranks[rank].pop()?;
--- a/crates/standin/src/database.rs
+++ b/crates/standin/src/database.rs
@@ -165,6 +165,12 @@
         self.state.status()
     }
 
+    /// Where its log has a statement that holds `text`.
+    #[must_use]
+    pub fn find_logged(&self, text: &str) -> Vec<fulmarrill_position::LogPoint> {
+        self.state.find_logged(text)
+    }
+
     /// Changes its faults.
     pub fn set_faults(&self, faults: InstanceFaults) {
         self.state.set_faults(faults);
--- a/crates/standin/src/database/engine.rs
+++ b/crates/standin/src/database/engine.rs
@@ -1,8 +1,10 @@
 //! The embedded engine that keeps an instance's rows.
 //!
-//! Every session has its own connection to one in-memory database, so that
-//! readers see only committed rows. Readers take no lock between statements;
-//! writers are let in one at a time by the instance, not by the engine.
+//! An instance keeps its rows twice in memory. Sessions read one copy, each over
+//! a connection of its own; what is committed is applied to it at once. The
+//! other copy has a single connection, on which one transaction at a time
+//! writes, so that an open transaction neither shows its rows nor makes
+//! readers wait.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/standin/src/database/functions.rs
+++ b/crates/standin/src/database/functions.rs
@@ -117,12 +117,16 @@
     arguments: i32,
     call: impl Fn(&Arc<InstanceState>, &Context<'_>) -> FunctionResult + Send + 'static,
 ) -> Result<(), EngineError> {
-    let state = state.clone();
+    // Weak, since the instance keeps connections that keep these functions.
+    let state = Arc::downgrade(state);
     connection.create_scalar_function(
         name,
         arguments,
         FunctionFlags::SQLITE_UTF8,
-        move |context| call(&state, context),
+        move |context| match state.upgrade() {
+            Some(state) => call(&state, context),
+            None => Err(rusqlite::Error::InvalidQuery),
+        },
     )?;
     Ok(())
 }
--- a/src/commands/demo.rs
+++ b/src/commands/demo.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use fulmarrill_fleet::{FleetLayout, LocalFleet};
 use fulmarrill_load::{
-    CallerPool, LoadKind, LoadPlan, LoadReport, LoadStream, RequestEnd, run_load,
+    CallerPool, LoadKind, LoadPlan, LedgerFault, LoadReport, LoadStream, RequestEnd, run_load,
 };
 use smol::Timer;
 
@@ -14,14 +14,19 @@
 
 /// Database that is loaded and whose primary is failed.
 const DATABASE: &str = "registry-1";
+/// Messages of refusals shown per service.
+const MESSAGES_SHOWN: usize = 3;
+/// Threads for the traffic of all hosts and stand-ins together.
+const TRAFFIC_THREADS: usize = 6;
 /// Seed of the arrivals.
 const SEED: u64 = 20_261;
 /// Time for reading back what was written.
-const READ_BACK_TIMEOUT: Duration = Duration::from_secs(20);
+const READ_BACK_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Runs the demonstration; fails if a write was lost or doubled.
 pub fn run(seconds: u64, listen: bool) -> Result<(), CommandError> {
-    logging::start("error");
+    fulmarrill_runtime::start_threads(TRAFFIC_THREADS);
+    logging::start(&std::env::var("FULMARRILL_LOG").unwrap_or_else(|_| "error".to_owned()));
     smol::block_on(run_demo(seconds.max(4), listen))
 }
 
@@ -45,7 +50,7 @@
     });
     Timer::after(Duration::from_secs(seconds / 2)).await;
     println!("Killing {primary}, the primary of {DATABASE} ...");
-    fleet.kill_instance(&primary);
+    if std::env::var("NOKILL").is_err() { fleet.kill_instance(&primary); }
     let killed_at = Instant::now();
     while fleet.primary_of(DATABASE).is_none_or(|now| now == primary)
         && killed_at.elapsed() < READ_BACK_TIMEOUT
@@ -68,6 +73,7 @@
     show_report(&report, replica_share);
     for fault in &faults {
         println!("FAULT: {fault}");
+        show_traces(&fleet, fault);
     }
     if listen {
         println!("Callers may connect to any of {}", addresses.join(", "));
@@ -88,6 +94,16 @@
     ))))
 }
 
+/// Where the instances' logs have the write that a fault names.
+fn show_traces(fleet: &LocalFleet, fault: &LedgerFault) {
+    for instance in &fleet.layout().databases[0].instances {
+        if let Some(standin) = fleet.instance(&instance.name) {
+            let points = standin.find_logged(fault.id());
+            println!("  {}: logged at {points:?}, {:?}", instance.name, standin.status());
+        }
+    }
+}
+
 fn port_of(address: &str) -> &str {
     address.rsplit(':').next().unwrap_or_default()
 }
@@ -138,6 +154,7 @@
     println!();
     print!("{}", report.show_table());
     println!();
+    print!("{}", report.show_messages(MESSAGES_SHOWN));
     println!("reads served by replicas   {:.1} %", 100.0 * replica_share);
     println!(
         "longest gap between writes {} ms",
