--- a/crates/document/src/reader.rs
+++ b/crates/document/src/reader.rs
@@ -162,7 +162,7 @@
         let mut texts = Vec::new();
         for (path, item) in self.list(field) {
             if let Some(text) = item.as_str() {
-                texts.push(text.into())
+                texts.push(text.into());
             } else {
                 let message = format!("must be a text, is {}", kind_of(item));
                 self.faults.push(DocumentFault::new(path, message));
@@ -183,7 +183,7 @@
         let mut pairs = Vec::new();
         for (name, value) in map {
             if let Some(text) = value.as_str() {
-                pairs.push((name.into(), text.into()))
+                pairs.push((name.into(), text.into()));
             } else {
                 let message = format!("must be a text, is {}", kind_of(value));
                 let path = format!("{}.{name}", self.path_of(field));
--- a/crates/host/src/entry/batch.rs
+++ b/crates/host/src/entry/batch.rs
@@ -58,6 +58,8 @@
     pub text: CompactString,
     /// Whether a statement in it ends the open transaction.
     pub ends_transaction: bool,
+    /// Whether a statement in it is run, and not only described.
+    pub executes: bool,
 }
 
 /// The statements of a session and the messages since the last `Sync`.
@@ -184,20 +186,22 @@
             return BatchWork::Local;
         }
         let mut class = StatementClass::Empty;
-        let executes = self
-            .messages
-            .iter()
-            .any(|m| matches!(m, PgWireFrontendMessage::Execute(_)));
         for statement in &self.used {
             class = combine(class, statement.class);
         }
-        if !executes {
+        if !self.executes() {
             // Describing changes nothing, whatever the statement would do.
             class = StatementClass::Read;
         }
         BatchWork::Remote(class)
     }
 
+    fn executes(&self) -> bool {
+        self.messages
+            .iter()
+            .any(|message| matches!(message, PgWireFrontendMessage::Execute(_)))
+    }
+
     /// Whether statements of both kinds are in the batch.
     #[must_use]
     pub fn is_mixed(&self) -> bool {
@@ -235,6 +239,7 @@
             encode_frontend(&self.messages).map_err(|error| encode_report(&error))?;
         let mut batch = ReadyBatch {
             payload: payload.to_vec(),
+            executes: self.executes(),
             ..ReadyBatch::default()
         };
         for statement in &self.used {
--- a/crates/host/src/entry/session.rs
+++ b/crates/host/src/entry/session.rs
@@ -59,6 +59,8 @@
     class: StatementClass,
     text: CompactString,
     ends_transaction: bool,
+    /// Whether a statement is run, and not only described.
+    executes: bool,
     prepared: Vec<fulmarrill_peer::PreparedParse>,
     payload: Vec<u8>,
 }
@@ -216,6 +218,7 @@
             class,
             text: text.into(),
             ends_transaction: ends_transaction(text),
+            executes: true,
             prepared: Vec::new(),
             payload,
         };
@@ -258,6 +261,7 @@
                         class,
                         text: batch.text,
                         ends_transaction: batch.ends_transaction,
+                        executes: batch.executes,
                         prepared: batch.prepared,
                         payload: batch.payload,
                     };
@@ -413,7 +417,7 @@
             let text = "the statement needs state that a shared connection does not keep";
             return Some(ErrorReport::new(sqlstate::NOT_SUPPORTED, text));
         }
-        let keyed = self.key.is_some();
+        let keyed = self.key.is_some() && work.executes;
         if keyed && (in_transaction || work.class == StatementClass::Transaction) {
             let text = "a request key covers one statement or batch, not a transaction block";
             return Some(ErrorReport::new(sqlstate::NOT_SUPPORTED, text));
@@ -430,7 +434,7 @@
         EntryRequest {
             flow: format_compact!("{}/{}", self.identity.service, self.identity.customer),
             customer: self.identity.customer.clone(),
-            key: self.key.take(),
+            key: if work.executes { self.key.take() } else { None },
             floor,
             deadline: Instant::now() + policy.time_allowed,
             policy,
--- a/crates/replication/src/promotion.rs
+++ b/crates/replication/src/promotion.rs
@@ -74,21 +74,27 @@
     step: PlanStep,
     fenced: BTreeMap<InstanceName, InstanceStatus>,
     failed: Vec<InstanceName>,
+    replaced: Option<InstanceName>,
     outcome: Option<PromotionOutcome>,
 }
 
 impl PromotionPlan {
     /// A plan for the term after the group's, under a unique change id.
+    ///
+    /// The present primary is passed over if the others are a majority by
+    /// themselves: a primary that was cut off often has the newest log, of
+    /// entries that nobody confirmed, and promoting it again changes nothing.
     #[must_use]
     pub fn new(mut group: DatabaseGroup, change_id: &str) -> Self {
         group.term += 1;
-        group.primary = None;
+        let replaced = group.primary.take();
         group.change_id = change_id.into();
         Self {
             group,
             step: PlanStep::Reserving,
             fenced: BTreeMap::new(),
             failed: Vec::new(),
+            replaced,
             outcome: None,
         }
     }
@@ -127,9 +133,9 @@
                 self.check_fences_left()
             }
             (PlanStep::Promoting, PromotionEvent::Promoted(name)) => self.publish(name),
-            (PlanStep::Promoting, PromotionEvent::PromoteFailed(name)) => {
-                self.fenced.remove(&name);
-                self.promote_best()
+            // Another one may lack an acknowledged commit; a new plan decides.
+            (PlanStep::Promoting, PromotionEvent::PromoteFailed(_)) => {
+                self.end(PromotionOutcome::NoCandidate)
             }
             (PlanStep::Publishing, PromotionEvent::Published) => self.finish(),
             _ => Vec::new(),
@@ -163,10 +169,7 @@
             return self.check_fences_left();
         }
         self.fenced.insert(name, status);
-        if self.fenced.len() < self.group.majority() {
-            return Vec::new();
-        }
-        self.promote_best()
+        self.decide()
     }
 
     fn check_fences_left(&mut self) -> Vec<PromotionAction> {
@@ -174,21 +177,41 @@
         if possible < self.group.majority() {
             return self.end(PromotionOutcome::NoMajority);
         }
+        self.decide()
+    }
+
+    /// Promotes as soon as the instances that stay are a majority; with the
+    /// replaced primary among them only when nothing else can still come.
+    fn decide(&mut self) -> Vec<PromotionAction> {
+        let staying = self
+            .fenced
+            .keys()
+            .filter(|name| !self.is_replaced(name))
+            .count();
+        if staying >= self.group.majority() {
+            return self.promote_best(false);
+        }
+        let all_answered = self.fenced.len() + self.failed.len() >= self.group.instances.len();
+        if all_answered && self.fenced.len() >= self.group.majority() {
+            return self.promote_best(true);
+        }
         Vec::new()
     }
 
-    /// Picks the newest log by the term of its last entry, then by position.
-    /// An instance that refused the role cannot be passed over for one with an
-    /// older log: that one may lack an acknowledged commit.
-    fn promote_best(&mut self) -> Vec<PromotionAction> {
+    fn is_replaced(&self, name: &str) -> bool {
+        self.replaced.as_deref() == Some(name)
+    }
+
+    /// Picks the newest log by the term of its last entry, then by position,
+    /// of a majority that was fenced.
+    fn promote_best(&mut self, with_replaced: bool) -> Vec<PromotionAction> {
         self.step = PlanStep::Promoting;
-        if self.fenced.len() < self.group.majority() {
-            return self.end(PromotionOutcome::NoCandidate);
-        }
-        let Some(newest) = self.fenced.values().map(|status| status.received).max() else {
+        let eligible = |name: &InstanceName| with_replaced || !self.is_replaced(name);
+        let statuses = self.fenced.iter().filter(|(name, _)| eligible(name));
+        let Some(newest) = statuses.map(|(_, status)| status.received).max() else {
             return self.end(PromotionOutcome::NoCandidate);
         };
-        let Some(name) = self.candidate_at(newest) else {
+        let Some(name) = self.candidate_at(newest, with_replaced) else {
             return self.end(PromotionOutcome::NoCandidate);
         };
         vec![PromotionAction::Promote(name, self.group.term)]
@@ -196,13 +219,14 @@
 
     /// Of the instances at the newest point, one that is not leaving if
     /// possible, in the order of the group.
-    fn candidate_at(&self, newest: LogPoint) -> Option<InstanceName> {
+    fn candidate_at(&self, newest: LogPoint, with_replaced: bool) -> Option<InstanceName> {
         let mut fallback = None;
         for instance in &self.group.instances {
             let Some(status) = self.fenced.get(&instance.name) else {
                 continue;
             };
-            if status.received != newest {
+            let passed_over = self.is_replaced(&instance.name) && !with_replaced;
+            if passed_over || status.received != newest {
                 continue;
             }
             if !instance.leaving {
--- a/crates/replication/tests/confirm.rs
+++ b/crates/replication/tests/confirm.rs
@@ -14,7 +14,14 @@
 
 fn status(role: InstanceRole, fence_term: u64, received: LogPoint) -> InstanceStatus {
     let streaming = role == InstanceRole::Replica;
-    InstanceStatus { role, fence_term, received, applied: received, streaming, matched: true }
+    InstanceStatus {
+        role,
+        fence_term,
+        received,
+        applied: received,
+        streaming,
+        matched: true,
+    }
 }
 
 #[rstest]
--- a/crates/replication/tests/monitor.rs
+++ b/crates/replication/tests/monitor.rs
@@ -17,7 +17,14 @@
 
 fn status(role: InstanceRole, fence_term: u64, streaming: bool) -> InstanceStatus {
     let received = LogPoint::new(1, 7);
-    InstanceStatus { role, fence_term, received, applied: received, streaming, matched: true }
+    InstanceStatus {
+        role,
+        fence_term,
+        received,
+        applied: received,
+        streaming,
+        matched: true,
+    }
 }
 
 /// Runs checks every 100 ms; `heard` says who reports at a step.
@@ -71,8 +78,9 @@
 fn nothing_is_promoted_without_a_majority() {
     let mut monitor = GroupMonitor::new(LIMIT);
     let replica = status(InstanceRole::Replica, 1, false);
-    let verdicts =
-        run(&mut monitor, &group(1, "a"), Instant::now(), 14, |_| vec![("b", replica)]);
+    let verdicts = run(&mut monitor, &group(1, "a"), Instant::now(), 14, |_| {
+        vec![("b", replica)]
+    });
     assert_eq!(verdicts[13], MonitorVerdict::NoMajority);
 }
 
@@ -92,9 +100,15 @@
     });
     assert_eq!(before[11], MonitorVerdict::PrimarySilent);
     let later = start + Duration::from_millis(1200);
-    assert_eq!(monitor.check(later, &group(2, "b")), MonitorVerdict::Healthy);
+    assert_eq!(
+        monitor.check(later, &group(2, "b")),
+        MonitorVerdict::Healthy
+    );
     let later = later + Duration::from_millis(100);
-    assert_eq!(monitor.check(later, &group(2, "b")), MonitorVerdict::Healthy);
+    assert_eq!(
+        monitor.check(later, &group(2, "b")),
+        MonitorVerdict::Healthy
+    );
 }
 
 #[test]
@@ -102,7 +116,10 @@
     let mut monitor = GroupMonitor::new(LIMIT);
     let start = Instant::now();
     monitor.observe(start, "a", status(InstanceRole::Primary, 1, false));
-    assert_eq!(monitor.check(start, &group(1, "a")), MonitorVerdict::Healthy);
+    assert_eq!(
+        monitor.check(start, &group(1, "a")),
+        MonitorVerdict::Healthy
+    );
     let woken = start + Duration::from_secs(20);
     for step in 0..4 {
         let now = woken + Duration::from_millis(100) * step;
--- /dev/null
+++ b/crates/replication/tests/promotion.rs
@@ -0,0 +1,121 @@
+//! The steps of a change of primary.
+
+use fulmarrill_position::{InstanceRole, InstanceStatus, LogPoint};
+use fulmarrill_replication::{
+    DatabaseGroup, GroupError, GroupInstance, PromotionAction, PromotionEvent, PromotionOutcome,
+    PromotionPlan,
+};
+
+fn group() -> DatabaseGroup {
+    let mut group = DatabaseGroup::new("registry-1", 1, "a");
+    for name in ["a", "b", "c"] {
+        group = group.with_instance(GroupInstance::new(name, "kosice-a", "vychod"));
+    }
+    group
+}
+
+fn fenced(name: &str, term: u64, received: LogPoint) -> PromotionEvent {
+    let status = InstanceStatus {
+        role: InstanceRole::Replica,
+        fence_term: term,
+        received,
+        applied: received,
+        streaming: false,
+        matched: true,
+    };
+    PromotionEvent::Fenced(name.into(), status)
+}
+
+fn promote(name: &str, term: u64) -> Vec<PromotionAction> {
+    vec![PromotionAction::Promote(name.into(), term)]
+}
+
+fn reserved_plan() -> PromotionPlan {
+    let mut plan = PromotionPlan::new(group(), "change-1");
+    let PromotionAction::Reserve(reserved) = plan.start() else {
+        panic!("the first action reserves");
+    };
+    assert_eq!((reserved.term, reserved.primary), (2, None));
+    assert_eq!(plan.handle(PromotionEvent::Reserved).len(), 3);
+    plan
+}
+
+#[test]
+fn newest_log_of_a_majority_is_promoted() {
+    let mut plan = reserved_plan();
+    assert!(plan.handle(fenced("b", 2, LogPoint::new(1, 4))).is_empty());
+    let actions = plan.handle(fenced("c", 2, LogPoint::new(1, 5)));
+    assert_eq!(actions, promote("c", 2));
+    let actions = plan.handle(PromotionEvent::Promoted("c".into()));
+    let [PromotionAction::Publish(published)] = actions.as_slice() else {
+        panic!("the new primary is published");
+    };
+    assert_eq!(published.primary.as_deref(), Some("c"));
+    plan.handle(PromotionEvent::Published);
+    assert_eq!(plan.outcome(), Some(&PromotionOutcome::Done("c".into(), 2)));
+}
+
+/// The trap of two terms: `b` was promoted at term 2 and failed before it
+/// replicated; its log ends in the later term, at a lower position.
+#[test]
+fn term_of_the_last_entry_goes_before_its_position() {
+    let mut plan = reserved_plan();
+    plan.handle(fenced("b", 2, LogPoint::new(2, 4)));
+    let actions = plan.handle(fenced("c", 2, LogPoint::new(1, 9)));
+    assert_eq!(actions, promote("b", 2));
+}
+
+/// Issue 4: a primary that was cut off from its replicas took part in the
+/// fences, had the newest log of all, and was promoted again without end.
+#[test]
+fn replaced_primary_is_passed_over_while_others_suffice() {
+    let mut plan = reserved_plan();
+    assert!(plan.handle(fenced("a", 2, LogPoint::new(1, 28))).is_empty());
+    assert!(plan.handle(fenced("b", 2, LogPoint::new(1, 26))).is_empty());
+    let actions = plan.handle(fenced("c", 2, LogPoint::new(1, 24)));
+    assert_eq!(actions, promote("b", 2));
+}
+
+#[test]
+fn replaced_primary_is_taken_when_there_is_no_other_majority() {
+    let mut plan = reserved_plan();
+    plan.handle(fenced("a", 2, LogPoint::new(1, 28)));
+    plan.handle(fenced("b", 2, LogPoint::new(1, 26)));
+    let actions = plan.handle(PromotionEvent::FenceFailed("c".into()));
+    assert_eq!(actions, promote("a", 2));
+}
+
+#[test]
+fn plan_without_a_majority_ends() {
+    let mut plan = reserved_plan();
+    plan.handle(PromotionEvent::FenceFailed("a".into()));
+    plan.handle(PromotionEvent::FenceFailed("b".into()));
+    assert_eq!(plan.outcome(), Some(&PromotionOutcome::NoMajority));
+    assert!(plan.handle(fenced("c", 2, LogPoint::new(1, 5))).is_empty());
+}
+
+#[test]
+fn instance_fenced_by_a_later_plan_ends_this_one() {
+    let mut plan = reserved_plan();
+    plan.handle(fenced("b", 3, LogPoint::new(1, 4)));
+    assert_eq!(plan.outcome(), Some(&PromotionOutcome::Superseded));
+}
+
+#[test]
+fn members_change_one_at_a_time_and_never_during_a_promotion() {
+    let mut group = group();
+    let fourth = GroupInstance::new("d", "kosice-a", "vychod");
+    assert_eq!(
+        group.remove_instance("a"),
+        Err(GroupError::IsPrimary("a".into()))
+    );
+    group.add_instance(fourth.clone()).expect("added");
+    assert_eq!(group.majority(), 3);
+    assert_eq!(
+        group.add_instance(fourth),
+        Err(GroupError::Present("d".into()))
+    );
+    group.remove_instance("c").expect("removed");
+    group.primary = None;
+    assert_eq!(group.remove_instance("b"), Err(GroupError::Promoting(1)));
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,7 +9,8 @@
 //! let near = InstanceView::new("a", LogPoint::new(1, 9)).with_local(true);
 //! let far = InstanceView::new("b", LogPoint::new(1, 9)).with_local(false);
 //! let demand = ReadDemand::new(LogPoint::new(1, 5));
-//! let chosen = choose_instance(&[far, near], &demand, now).unwrap();
+//! let views = [far, near];
+//! let chosen = choose_instance(&views, &demand, now).unwrap();
 //! assert_eq!(chosen.name, "a");
 //! ```
 //!
--- a/crates/standin/src/database/backend.rs
+++ b/crates/standin/src/database/backend.rs
@@ -550,11 +550,13 @@
     ) -> Result<EngineRows, ErrorReport> {
         Self::spend_time(&self.state, statement).await;
         self.refresh_connection()?;
-        let writer = self.transaction.as_ref().and_then(|open| open.writer.as_ref());
+        let writer = self
+            .transaction
+            .as_ref()
+            .and_then(|open| open.writer.as_ref());
         // A transaction that has written reads its own rows.
         let connection = writer.map_or(&self.connection, |writer| &writer.connection);
-        run_statement(connection, &statement.sql, parameters)
-            .map_err(|error| engine_report(&error))
+        run_statement(connection, &statement.sql, parameters).map_err(|error| engine_report(&error))
     }
 
     async fn run_write(
@@ -586,7 +588,10 @@
             transaction.logged.push(LoggedStatement { sql, parameters });
             return Ok(rows);
         }
-        Err(ErrorReport::new(sqlstate::INTERNAL, "transaction has no connection to write on"))
+        Err(ErrorReport::new(
+            sqlstate::INTERNAL,
+            "transaction has no connection to write on",
+        ))
     }
 
     /// Lets this transaction be the one that writes.
@@ -605,7 +610,11 @@
         register_functions(&connection, &self.state).map_err(|error| engine_report(&error))?;
         run_statement(&connection, "BEGIN IMMEDIATE", &[])
             .map_err(|error| engine_report(&error))?;
-        transaction.writer = Some(OpenWriter { connection, generation, ended: false });
+        transaction.writer = Some(OpenWriter {
+            connection,
+            generation,
+            ended: false,
+        });
         self.refresh_connection()
     }
 
@@ -620,7 +629,10 @@
             return Ok(());
         }
         let generation = writer.generation;
-        match self.state.commit(&writer.connection, generation, transaction.logged) {
+        match self
+            .state
+            .commit(&writer.connection, generation, transaction.logged)
+        {
             Ok(()) => {
                 writer.ended = true;
                 Ok(())
@@ -665,7 +677,10 @@
 
     fn check_generation(&self) -> Result<(), ErrorReport> {
         let current = self.state.generation();
-        let writer = self.transaction.as_ref().and_then(|open| open.writer.as_ref());
+        let writer = self
+            .transaction
+            .as_ref()
+            .and_then(|open| open.writer.as_ref());
         if writer.is_none_or(|writer| writer.generation == current) {
             return Ok(());
         }
@@ -736,6 +751,17 @@
     ErrorReport::new("34000", format!("portal \"{name}\" does not exist"))
 }
 
+/// The SQLSTATE for errors that the embedded engine tells apart by text only.
+fn code_of_message(text: &str) -> &'static str {
+    if text.contains("no such table") {
+        "42P01"
+    } else if text.contains("no such column") {
+        "42703"
+    } else {
+        "42000"
+    }
+}
+
 /// The SQLSTATE that PostgreSQL would give for the embedded engine's error.
 fn engine_report(error: &EngineError) -> ErrorReport {
     let text = error.to_string();
@@ -749,11 +775,9 @@
             275 => "23514",
             // SQLITE_BUSY
             5 => sqlstate::SERIALIZATION,
-            _ => "42000",
+            _ => code_of_message(&text),
         },
-        rusqlite::Error::SqlInputError { msg, .. } if msg.contains("no such table") => "42P01",
-        rusqlite::Error::SqlInputError { msg, .. } if msg.contains("no such column") => "42703",
-        _ => "42000",
+        _ => code_of_message(&text),
     };
     ErrorReport::new(code, text)
 }
--- a/crates/standin/src/database/engine.rs
+++ b/crates/standin/src/database/engine.rs
@@ -143,12 +143,20 @@
 ///
 /// The engine's error.
 pub fn column_types(connection: &Connection) -> Result<ColumnTypes, EngineError> {
-    let sql = "SELECT lower(c.name), c.type FROM sqlite_master m, pragma_table_info(m.name) c \
+    let sql = "SELECT lower(m.name), lower(c.name), c.type FROM sqlite_master m, pragma_table_info(m.name) c \
                WHERE m.type = 'table'";
     let mut types = ColumnTypes::new();
     for row in run_statement(connection, sql, &[])?.rows {
-        if let [Value::Text(name), Value::Text(declared)] = row.as_slice() {
-            types.insert(name.clone(), oid_of_declaration(declared));
+        if let [
+            Value::Text(table),
+            Value::Text(column),
+            Value::Text(declared),
+        ] = row.as_slice()
+        {
+            types.insert(
+                (table.clone(), column.clone()),
+                oid_of_declaration(declared),
+            );
         }
     }
     Ok(types)
--- a/crates/standin/src/database/instance.rs
+++ b/crates/standin/src/database/instance.rs
@@ -524,7 +524,11 @@
         let inner = self.lock();
         let mut points = Vec::new();
         for (index, entry) in inner.log.iter().enumerate() {
-            if entry.statements.iter().any(|statement| statement.sql.contains(text)) {
+            if entry
+                .statements
+                .iter()
+                .any(|statement| statement.sql.contains(text))
+            {
                 points.push(inner.point_at(index + 1));
             }
         }
--- a/crates/standin/src/database/sql.rs
+++ b/crates/standin/src/database/sql.rs
@@ -51,8 +51,11 @@
     pub sleep_seconds: f64,
 }
 
-/// Declared column types by lower-case name, of all tables.
-pub type ColumnTypes = BTreeMap<String, u32>;
+/// Declared types of all columns, by lower-case table and column.
+pub type ColumnTypes = BTreeMap<(String, String), u32>;
+
+/// Declared types of the columns of one statement's tables.
+type ScopeTypes = BTreeMap<String, u32>;
 
 /// Parses a text of one or more statements.
 ///
@@ -76,13 +79,20 @@
     columns: &ColumnTypes,
     given_oids: &[u32],
 ) -> ParsedStatement {
-    let parameter_oids = parameter_oids(&statement, columns, given_oids);
-    let column_oids = column_oids(&statement);
-    let mut uses_tables = false;
-    let _ = visit_relations(&statement, |_| {
-        uses_tables = true;
+    let mut tables = Vec::new();
+    let _ = visit_relations(&statement, |name| {
+        tables.push(name.to_string().to_lowercase());
         ControlFlow::<()>::Continue(())
     });
+    let mut scope = ScopeTypes::new();
+    for ((table, column), oid) in columns {
+        if tables.contains(table) {
+            scope.insert(column.clone(), *oid);
+        }
+    }
+    let parameter_oids = parameter_oids(&statement, &scope, given_oids);
+    let column_oids = column_oids(&statement);
+    let uses_tables = !tables.is_empty();
     let sleep_seconds = sleep_seconds(&statement);
     rewrite_casts(&mut statement);
     let (kind, tag) = classify(&statement);
@@ -177,7 +187,7 @@
         }
     }
 
-    fn note_pair(&mut self, columns: &ColumnTypes, left: &Expr, right: &Expr) {
+    fn note_pair(&mut self, columns: &ScopeTypes, left: &Expr, right: &Expr) {
         let (Some(number), Some(name)) = (placeholder(left), column_name(right)) else {
             return;
         };
@@ -187,7 +197,7 @@
     }
 }
 
-fn parameter_oids(statement: &Statement, columns: &ColumnTypes, given_oids: &[u32]) -> Vec<u32> {
+fn parameter_oids(statement: &Statement, columns: &ScopeTypes, given_oids: &[u32]) -> Vec<u32> {
     let mut types = ParameterTypes {
         oids: given_oids.to_vec(),
     };
@@ -221,7 +231,7 @@
     types.oids
 }
 
-fn note_expression(types: &mut ParameterTypes, expr: &Expr, columns: &ColumnTypes) {
+fn note_expression(types: &mut ParameterTypes, expr: &Expr, columns: &ScopeTypes) {
     match expr {
         Expr::Cast {
             expr, data_type, ..
@@ -257,7 +267,7 @@
     }
 }
 
-fn note_insert(types: &mut ParameterTypes, insert: &Insert, columns: &ColumnTypes) {
+fn note_insert(types: &mut ParameterTypes, insert: &Insert, columns: &ScopeTypes) {
     let TableObject::TableName(_) = &insert.table else {
         return;
     };
--- a/src/commands/demo.rs
+++ b/src/commands/demo.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use fulmarrill_fleet::{FleetLayout, LocalFleet};
 use fulmarrill_load::{
-    CallerPool, LoadKind, LoadPlan, LedgerFault, LoadReport, LoadStream, RequestEnd, run_load,
+    CallerPool, LedgerFault, LoadKind, LoadPlan, LoadReport, LoadStream, RequestEnd, run_load,
 };
 use smol::Timer;
 
@@ -50,7 +50,9 @@
     });
     Timer::after(Duration::from_secs(seconds / 2)).await;
     println!("Killing {primary}, the primary of {DATABASE} ...");
-    if std::env::var("NOKILL").is_err() { fleet.kill_instance(&primary); }
+    if std::env::var("NOKILL").is_err() {
+        fleet.kill_instance(&primary);
+    }
     let killed_at = Instant::now();
     while fleet.primary_of(DATABASE).is_none_or(|now| now == primary)
         && killed_at.elapsed() < READ_BACK_TIMEOUT
@@ -99,7 +101,11 @@
     for instance in &fleet.layout().databases[0].instances {
         if let Some(standin) = fleet.instance(&instance.name) {
             let points = standin.find_logged(fault.id());
-            println!("  {}: logged at {points:?}, {:?}", instance.name, standin.status());
+            println!(
+                "  {}: logged at {points:?}, {:?}",
+                instance.name,
+                standin.status()
+            );
         }
     }
 }
--- a/src/commands/operate.rs
+++ b/src/commands/operate.rs
@@ -60,14 +60,13 @@
         faults,
     };
     OperatorDocument::parse(&text).map_err(refused)?;
-    let read = match version {
-        Some(version) => version,
-        None => {
-            let answer = call(address, Method::GET, "/document", Vec::new())?;
-            read_json(address, &answer)?["version"]
-                .as_u64()
-                .unwrap_or(0)
-        }
+    let read = if let Some(version) = version {
+        version
+    } else {
+        let answer = call(address, Method::GET, "/document", Vec::new())?;
+        read_json(address, &answer)?["version"]
+            .as_u64()
+            .unwrap_or(0)
     };
     let change_id = format!("apply-{:016x}", fastrand::u64(..));
     let body = json!({ "version": read, "text": text, "change_id": change_id });
--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,87 @@
+//! The whole path as separate processes, and what happens when some are
+//! killed, stopped or told to leave.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use fulmarrill_load::{CallerPool, LoadKind, LoadPlan, LoadStream, RequestEnd, run_load};
+use rustix::process::Signal;
+
+use crate::util::{DATABASE, PATIENCE, ProcessFleet, faults_of};
+
+fn plan(callers: Vec<CompactString>, seed: u64, time: Duration) -> LoadPlan {
+    LoadPlan::new(DATABASE, callers, seed)
+        .with_time(time)
+        .with_stream(LoadStream::new("renewals", LoadKind::WriteThenRead, 20.0))
+        .with_stream(LoadStream::new("scans", LoadKind::Read, 40.0))
+}
+
+async fn one(pool: &CallerPool, statement: &str) -> RequestEnd {
+    pool.run(
+        &[statement.into()],
+        None,
+        std::time::Instant::now() + PATIENCE,
+    )
+    .await
+}
+
+#[test]
+fn separate_processes_carry_reads_and_writes() {
+    let fleet = ProcessFleet::start("carry");
+    smol::block_on(async {
+        let pool = CallerPool::new(&fleet.callers(), DATABASE, "renewals", "city");
+        for number in 0..3 {
+            let insert = format!("INSERT INTO badges (id, holder) VALUES ({number}, 'stall')");
+            assert_eq!(one(&pool, &insert).await, RequestEnd::Served(Vec::new()));
+        }
+        let count = one(&pool, "SELECT count(*) FROM badges").await;
+        assert_eq!(count, RequestEnd::Served(vec![Some("3".to_owned())]));
+    });
+}
+
+#[test]
+fn killed_primary_loses_and_doubles_nothing() {
+    let mut fleet = ProcessFleet::start("kill-primary");
+    let callers = fleet.callers();
+    let plan = plan(callers.clone(), 41, Duration::from_secs(5));
+    smol::block_on(async {
+        let load = smol::spawn({
+            let plan = plan.clone();
+            async move { run_load(&plan).await }
+        });
+        smol::Timer::after(Duration::from_secs(2)).await;
+        drop(fleet.instances.remove(0));
+        let report = load.await;
+        assert!(report.acknowledged > 0);
+        assert_eq!(report.streams["renewals"].stale, 0);
+        assert_eq!(faults_of(&plan, &callers).await, Vec::new());
+    });
+}
+
+#[test]
+fn frozen_host_that_wakes_loses_and_doubles_nothing() {
+    let fleet = ProcessFleet::start("freeze");
+    let callers = fleet.callers();
+    let plan = plan(callers.clone(), 42, Duration::from_secs(6));
+    smol::block_on(async {
+        let load = smol::spawn({
+            let plan = plan.clone();
+            async move { run_load(&plan).await }
+        });
+        smol::Timer::after(Duration::from_secs(1)).await;
+        fleet.hosts[0].signal(Signal::STOP);
+        smol::Timer::after(Duration::from_secs(3)).await;
+        fleet.hosts[0].signal(Signal::CONT);
+        let report = load.await;
+        assert_eq!(report.streams["renewals"].stale, 0);
+        assert_eq!(faults_of(&plan, &callers).await, Vec::new());
+    });
+}
+
+#[test]
+fn host_told_to_leave_ends_in_order() {
+    let mut fleet = ProcessFleet::start("leave");
+    let leaving = fleet.hosts.remove(2);
+    leaving.signal(Signal::TERM);
+    assert!(leaving.wait(), "the exit code of an orderly end is 0");
+}
--- /dev/null
+++ b/tests/tests.rs
@@ -0,0 +1,7 @@
+//! Integration tests by topic.
+
+mod commands;
+mod drivers;
+mod failover;
+mod processes;
+mod util;
