--- /dev/null
+++ b/crates/idempotency/tests/keys.rs
@@ -0,0 +1,48 @@
+//! Which keys are taken.
+
+use std::time::{Duration, SystemTime};
+
+use fulmarrill_idempotency::{KeyError, RequestKey};
+use rstest::rstest;
+
+const KEPT: Duration = Duration::from_hours(24);
+
+fn now() -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_hours(500000)
+}
+
+#[rstest]
+#[case("1800000000000-a")]
+#[case("1799999999000-renewal.17:x_y-z")]
+#[case("1800000200000-clock-ahead")]
+fn proper_key_is_taken(#[case] text: &str) {
+    assert!(RequestKey::parse(text, now(), KEPT).is_ok());
+}
+
+#[rstest]
+#[case("")]
+#[case("a-1")]
+#[case("1800000000000-")]
+#[case("1800000000000")]
+#[case("1800000000000-it's")]
+#[case("18446744073709551616-a")]
+fn malformed_key_is_refused(#[case] text: &str) {
+    assert!(matches!(
+        RequestKey::parse(text, now(), KEPT),
+        Err(KeyError::Form(_))
+    ));
+}
+
+#[test]
+fn key_older_than_kept_is_refused_and_not_taken_for_new() {
+    let old = "1799000000000-a";
+    assert!(matches!(
+        RequestKey::parse(old, now(), KEPT),
+        Err(KeyError::TooOld(_))
+    ));
+    let future = "1801000000000-a";
+    assert!(matches!(
+        RequestKey::parse(future, now(), KEPT),
+        Err(KeyError::Future(_))
+    ));
+}
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -1,5 +1,6 @@
 //! Callers' sessions, kept for the next request.
 
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -34,7 +35,8 @@
     database: CompactString,
     options: CompactString,
     next: AtomicUsize,
-    idle: Mutex<Vec<DatabaseConnection>>,
+    /// Used in turn, so that every host gets its share.
+    idle: Mutex<VecDeque<DatabaseConnection>>,
 }
 
 impl CallerPool {
@@ -63,7 +65,7 @@
                 .idle
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
-                .pop()
+                .pop_front()
         {
             return Ok(connection);
         }
@@ -109,11 +111,12 @@
                 break;
             }
         }
-        if connection.is_settled() {
+        // After a refusal the session may be in a failed transaction.
+        if connection.is_settled() && matches!(end, RequestEnd::Served(_)) {
             self.idle
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
-                .push(connection);
+                .push_back(connection);
         }
         end
     }
--- /dev/null
+++ b/crates/routing/tests/choice.rs
@@ -0,0 +1,82 @@
+//! The choice of an instance against taking replicas in turn.
+
+use std::time::{Duration, Instant};
+
+use fulmarrill_position::LogPoint;
+use fulmarrill_routing::{InstanceView, ReadDemand, choose_in_turn, choose_instance};
+
+const FLOOR: LogPoint = LogPoint {
+    term: 1,
+    position: 10,
+};
+
+#[test]
+fn primary_serves_reads_only_when_no_replica_can() {
+    let now = Instant::now();
+    let primary = InstanceView::new("a", FLOOR).with_primary(true);
+    let replica = InstanceView::new("b", FLOOR);
+    let demand = ReadDemand::new(FLOOR);
+    let views = [primary.clone(), replica.clone()];
+    assert_eq!(
+        choose_instance(&views, &demand, now).map(|view| &*view.name),
+        Some("b")
+    );
+    let views = [primary, replica.with_unusable(true)];
+    assert_eq!(
+        choose_instance(&views, &demand, now).map(|view| &*view.name),
+        Some("a")
+    );
+}
+
+#[test]
+fn instance_that_was_tried_is_left_out() {
+    let now = Instant::now();
+    let views = [InstanceView::new("a", FLOOR), InstanceView::new("b", FLOOR)];
+    let demand = ReadDemand::new(FLOOR).with_excluded(vec!["a".into(), "b".into()]);
+    assert_eq!(choose_instance(&views, &demand, now), None);
+}
+
+/// Replicas of unequal speed: the choice by expected time keeps the sum of
+/// times below that of taking them in turn.
+#[test]
+fn expected_time_beats_taking_turns() {
+    let now = Instant::now();
+    let fast = Duration::from_millis(2);
+    let slow = Duration::from_millis(20);
+    let (mut chosen_time, mut turn_time) = (Duration::ZERO, Duration::ZERO);
+    let mut queued = [0_u32; 2];
+    for turn in 0..40 {
+        let views = [
+            InstanceView::new("fast", FLOOR).with_answer_at(now + fast * (queued[0] + 1)),
+            InstanceView::new("slow", FLOOR).with_answer_at(now + slow * (queued[1] + 1)),
+        ];
+        let chosen = choose_instance(&views, &ReadDemand::new(FLOOR), now).expect("one");
+        let index = usize::from(chosen.name == "slow");
+        queued[index] += 1;
+        chosen_time += [fast, slow][index] * queued[index];
+        let in_turn = choose_in_turn(&views, turn).expect("one");
+        turn_time += [fast, slow][usize::from(in_turn.name == "slow")] * (turn as u32 / 2 + 1);
+    }
+    assert!(
+        chosen_time * 3 < turn_time,
+        "{chosen_time:?} against {turn_time:?}"
+    );
+}
+
+#[test]
+fn local_region_goes_first_unless_it_is_far_slower() {
+    let now = Instant::now();
+    let far = InstanceView::new("far", FLOOR).with_local(false);
+    let near = InstanceView::new("near", FLOOR).with_answer_at(now + Duration::from_millis(50));
+    let demand = ReadDemand::new(FLOOR);
+    let views = [far.clone(), near.clone()];
+    assert_eq!(
+        choose_instance(&views, &demand, now).map(|view| &*view.name),
+        Some("near")
+    );
+    let views = [far, near.with_answer_at(now + Duration::from_millis(500))];
+    assert_eq!(
+        choose_instance(&views, &demand, now).map(|view| &*view.name),
+        Some("far")
+    );
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -4,4 +4,5 @@
 mod drivers;
 mod failover;
 mod processes;
+mod traces;
 mod util;
