Measure scenarios beside a naive proxy; keep a slot from long work

Cause: in a flood of reports the p99 of scans rose 1.72 times (139.5 ms against 81.0 ms calm, release build): a slot cannot be taken back, so an urgent read waited for the whole of a report. Ruled out: the queue's order (no urgent request waited behind another rank). Change: work that takes 1.5 times as long as urgent work does not take the last free slot within 250 ms of urgent work. Also 'fulmarrill measure' with scenario files, a naive baseline in the same call, sessions of the load tool bounded.

--- a/crates/fleet/src/local.rs
+++ b/crates/fleet/src/local.rs
@@ -51,6 +51,8 @@
     instances: BTreeMap<CompactString, DatabaseStandin>,
     instance_addresses: BTreeMap<CompactString, SocketAddr>,
     hosts: BTreeMap<CompactString, HostProcess>,
+    /// Names of the running hosts in the order of their starts.
+    started: Vec<CompactString>,
     paths: BTreeMap<PathKey, NetworkForwarder>,
 }
 
@@ -68,6 +70,7 @@
             instances: BTreeMap::new(),
             instance_addresses: BTreeMap::new(),
             hosts: BTreeMap::new(),
+            started: Vec::new(),
             paths: BTreeMap::new(),
         };
         fleet.start_databases().await?;
@@ -78,10 +81,23 @@
         for host in &layout.hosts {
             fleet.start_host(host).await?;
         }
+        if layout.hosts.is_empty() {
+            fleet.follow_first_primaries();
+        }
         fleet.wait_ready(Duration::from_secs(30)).await?;
         Ok(fleet)
     }
 
+    /// Makes replicas follow where no host does.
+    fn follow_first_primaries(&self) {
+        for database in &self.layout.databases {
+            let primary = self.instance_addresses[&database.instances[0].name].to_string();
+            for instance in &database.instances[1..] {
+                self.instances[&instance.name].follow(1, &primary);
+            }
+        }
+    }
+
     /// The layout that the fleet was started with.
     #[must_use]
     pub fn layout(&self) -> &FleetLayout {
@@ -169,6 +185,26 @@
         Ok(address)
     }
 
+    /// Opens paths from something at a data centre to every instance of the
+    /// first database, the primary's first.
+    ///
+    /// # Errors
+    ///
+    /// When a port cannot be had.
+    pub async fn open_paths_for(
+        &mut self,
+        name: &str,
+        data_centre: &str,
+    ) -> Result<Vec<SocketAddr>, FleetError> {
+        let mut paths = Vec::new();
+        for instance in self.layout.databases[0].instances.clone() {
+            let target = self.instance_addresses[&instance.name];
+            let ends = (name, data_centre, &*instance.name, &*instance.data_centre);
+            paths.push(self.open_path(ends, target).await?);
+        }
+        Ok(paths)
+    }
+
     /// Starts a host, again after it was killed or has left.
     ///
     /// # Errors
@@ -206,6 +242,8 @@
         let process = HostProcess::start(settings).await?;
         self.join_host(host, &process).await?;
         self.hosts.insert(host.name.clone(), process);
+        self.started.retain(|name| *name != host.name);
+        self.started.push(host.name.clone());
         Ok(())
     }
 
@@ -303,6 +341,15 @@
         self.hosts.keys().cloned().collect()
     }
 
+    /// The host that has been running for the longest.
+    #[must_use]
+    pub fn oldest_host(&self) -> Option<CompactString> {
+        self.started
+            .iter()
+            .find(|name| self.hosts.contains_key(*name))
+            .cloned()
+    }
+
     /// A running instance.
     #[must_use]
     pub fn instance(&self, name: &str) -> Option<&DatabaseStandin> {
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -7,7 +7,10 @@
 
 use compact_str::{CompactString, format_compact};
 use fulmarrill_pg::{ConnectTarget, DatabaseConnection, ErrorReport, ExchangeAnswer, PgError};
+use smol::lock::Semaphore;
 
+/// Sessions that a pool has open at most.
+const SESSIONS_MAX: usize = 600;
 /// Time for connecting to a host.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// SQLSTATEs of refusals, whose requests did not run.
@@ -37,6 +40,9 @@
     next: AtomicUsize,
     /// Used in turn, so that every host gets its share.
     idle: Mutex<VecDeque<DatabaseConnection>>,
+    /// Keeps the number of sessions bounded; requests wait their turn, and the
+    /// wait counts.
+    permits: Semaphore,
 }
 
 impl CallerPool {
@@ -56,6 +62,7 @@
             options,
             next: AtomicUsize::new(0),
             idle: Mutex::default(),
+            permits: Semaphore::new(SESSIONS_MAX),
         })
     }
 
@@ -94,6 +101,7 @@
         position: Option<&str>,
         deadline: Instant,
     ) -> RequestEnd {
+        let _permit = self.permits.acquire().await;
         let mut connection = match self.take(position).await {
             Ok(connection) => connection,
             Err(error) => return RequestEnd::NotRun(format_compact!("no host: {error}")),
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use compact_str::{CompactString, format_compact};
+use serde::Deserialize;
 use smol::Timer;
 
 use crate::arrivals::draw_arrivals;
@@ -17,7 +18,8 @@
 const BADGES: u64 = 200;
 
 /// What the requests of a stream do.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum LoadKind {
     /// A read of one row.
     Read,
--- /dev/null
+++ b/crates/measure/src/run.rs
@@ -0,0 +1,227 @@
+//! Runs a scenario on a fleet, then on the baseline.
+
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use fulmarrill_fleet::{FleetError, FleetLayout, LocalFleet};
+use fulmarrill_load::{CallerPool, LoadPlan, LoadReport, RequestEnd, run_load};
+use fulmarrill_standin::{PlatformFaults, PlatformMode};
+use smol::Timer;
+use thiserror::Error;
+
+use crate::baseline::NaiveProxy;
+use crate::result::ScenarioResult;
+use crate::scenario::{Scenario, ScenarioEvent};
+
+/// Time for reading back what was written.
+const READ_BACK_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time for the fleet to settle between two rounds.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Why a scenario cannot be measured.
+#[derive(Debug, Error)]
+pub enum MeasureError {
+    /// The fleet cannot start or settle.
+    #[error(transparent)]
+    Fleet(#[from] FleetError),
+    /// The baseline cannot start.
+    #[error("baseline: {0}")]
+    Baseline(std::io::Error),
+    /// The writes cannot be read back.
+    #[error("writes cannot be read back: {0}")]
+    ReadBack(String),
+}
+
+/// Runs every round of a scenario and compares the writes with the database.
+///
+/// # Errors
+///
+/// When the fleet does not start, settle, or answer at the end.
+pub async fn run_scenario(scenario: &Scenario) -> Result<ScenarioResult, MeasureError> {
+    let mut result = ScenarioResult::new(scenario);
+    let layout = scenario.fleet_layout();
+    let mut fleet = LocalFleet::start(layout.clone()).await?;
+    let started_at = Instant::now();
+    let mut plans = Vec::new();
+    for round in 0..scenario.rounds {
+        fleet.wait_ready(SETTLE_TIMEOUT).await?;
+        let plan = make_plan(scenario, &layout, callers_of(&fleet), u64::from(round));
+        result
+            .rounds
+            .push(run_round(scenario, &mut fleet, &plan).await?);
+        plans.push(plan);
+    }
+    result.time = started_at.elapsed();
+    result.region_bytes = fleet.bytes_between_regions();
+    result.store_calls = fleet.platform().calls();
+    result.replica_share = replica_share(&fleet);
+    let held = read_back(&callers_of(&fleet), &layout.databases[0].name).await?;
+    for plan in &plans {
+        result.faults.extend(plan.ledger().compare(&held));
+    }
+    drop(fleet);
+    if scenario.baseline {
+        result.baseline = Some(run_baseline(scenario, layout).await?);
+    }
+    Ok(result)
+}
+
+fn make_plan(
+    scenario: &Scenario,
+    layout: &FleetLayout,
+    callers: Vec<CompactString>,
+    round: u64,
+) -> LoadPlan {
+    let seed = scenario.seed + 1000 * round;
+    let mut plan = LoadPlan::new(&layout.databases[0].name, callers, seed)
+        .with_time(Duration::from_millis(scenario.time_ms));
+    for stream in scenario.load_streams() {
+        plan = plan.with_stream(stream);
+    }
+    plan
+}
+
+fn callers_of(fleet: &LocalFleet) -> Vec<CompactString> {
+    fleet
+        .host_names()
+        .iter()
+        .map(|name| fleet.caller_address(name))
+        .collect()
+}
+
+async fn run_round(
+    scenario: &Scenario,
+    fleet: &mut LocalFleet,
+    plan: &LoadPlan,
+) -> Result<LoadReport, MeasureError> {
+    let started_at = Instant::now();
+    let load = fulmarrill_runtime::spawn({
+        let plan = plan.clone();
+        async move { run_load(&plan).await }
+    });
+    for timed in &scenario.events {
+        Timer::at(started_at + Duration::from_millis(timed.at_ms)).await;
+        bring_about(fleet, timed.event).await?;
+    }
+    Ok(load.await)
+}
+
+async fn bring_about(fleet: &mut LocalFleet, event: ScenarioEvent) -> Result<(), MeasureError> {
+    let database = fleet.layout().databases[0].name.clone();
+    match event {
+        ScenarioEvent::CutPrimary => {
+            if let Some(primary) = fleet.primary_of(&database) {
+                fleet.set_paths(
+                    |from, to| from == primary || to == primary,
+                    |faults| faults.cut = true,
+                );
+            }
+        }
+        ScenarioEvent::Heal => fleet.set_paths(|_, _| true, |_| {}),
+        ScenarioEvent::LeavePrimary => {
+            let primary = fleet.primary_of(&database);
+            fleet.change_group(&database, |group| {
+                for instance in &mut group.instances {
+                    instance.leaving = Some(&instance.name) == primary.as_ref();
+                }
+            });
+        }
+        ScenarioEvent::RestartHost => restart_host(fleet).await?,
+        ScenarioEvent::StoreDown => {
+            let mode = PlatformMode::Refusing;
+            fleet.platform().set_faults(PlatformFaults {
+                mode,
+                ..PlatformFaults::default()
+            });
+        }
+        ScenarioEvent::StoreUp => {
+            fleet.platform().set_faults(PlatformFaults::default());
+        }
+    }
+    Ok(())
+}
+
+/// Restarts the host that has been up for the longest: its successor comes up
+/// first, as platforms do it, then it is told to leave.
+async fn restart_host(fleet: &mut LocalFleet) -> Result<(), MeasureError> {
+    let Some(name) = fleet.oldest_host() else {
+        return Ok(());
+    };
+    let layout = fleet
+        .layout()
+        .hosts
+        .iter()
+        .find(|host| host.name == name)
+        .cloned();
+    if let (Some(process), Some(layout)) = (fleet.take_host(&name), layout) {
+        process.leave().await;
+        fleet.start_host(&layout).await?;
+    }
+    Ok(())
+}
+
+/// Share of reads that replicas served.
+fn replica_share(fleet: &LocalFleet) -> f64 {
+    let (mut by_replica, mut all) = (0.0, 0.0);
+    for name in fleet.host_names() {
+        if let Some(host) = fleet.host(&name) {
+            let counts = host.context().read_counts();
+            by_replica += counts.by_replica;
+            all += counts.all;
+        }
+    }
+    if all > 0.0 { by_replica / all } else { 0.0 }
+}
+
+async fn read_back(
+    callers: &[CompactString],
+    database: &str,
+) -> Result<Vec<CompactString>, MeasureError> {
+    let pool = CallerPool::new(callers, database, "counter", "city");
+    let deadline = Instant::now() + READ_BACK_TIMEOUT;
+    loop {
+        match pool
+            .run(&["SELECT id FROM renewals".into()], None, deadline)
+            .await
+        {
+            RequestEnd::Served(column) => {
+                return Ok(column
+                    .into_iter()
+                    .flatten()
+                    .map(CompactString::from)
+                    .collect());
+            }
+            other if Instant::now() > deadline => {
+                return Err(MeasureError::ReadBack(format!("{other:?}")));
+            }
+            _ => {
+                Timer::after(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn run_baseline(
+    scenario: &Scenario,
+    layout: FleetLayout,
+) -> Result<LoadReport, MeasureError> {
+    let hosts = layout.hosts.clone();
+    let bare = FleetLayout {
+        hosts: Vec::new(),
+        ..layout.clone()
+    };
+    let mut fleet = LocalFleet::start(bare).await?;
+    let share = (layout.connection_limit / hosts.len()).max(1);
+    let mut proxies = Vec::new();
+    for host in &hosts {
+        let paths = fleet.open_paths_for(&host.name, &host.data_centre).await?;
+        proxies.push(
+            NaiveProxy::start(paths, share)
+                .await
+                .map_err(MeasureError::Baseline)?,
+        );
+    }
+    let callers = proxies.iter().map(NaiveProxy::address).collect();
+    let plan = make_plan(scenario, &layout, callers, 0);
+    Ok(run_load(&plan).await)
+}
--- a/crates/schedule/src/queue.rs
+++ b/crates/schedule/src/queue.rs
@@ -19,6 +19,12 @@
 /// Items that may wait in one queue, so that a flood is refused and not kept.
 const ITEMS_MAX: usize = 4096;
 
+/// Time after urgent work for which a slot is kept for more of it.
+const GUARD_TIME: Duration = Duration::from_millis(250);
+/// Work that takes this many times as long as urgent work may not take the
+/// last free slot.
+const GUARD_FACTOR: f64 = 1.5;
+
 /// Something that needs a slot.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkItem {
@@ -78,6 +84,8 @@
     ranks: Vec<RankBacklog>,
     continuing: VecDeque<WorkItem>,
     expired: Vec<WorkItem>,
+    /// Until when the last free slot is kept for the most urgent rank.
+    guarded_until: Instant,
 }
 
 impl RankQueue {
@@ -94,6 +102,7 @@
             ranks,
             continuing: VecDeque::new(),
             expired: Vec::new(),
+            guarded_until: now,
         }
     }
 
@@ -132,6 +141,9 @@
         if now + wait + cost > item.deadline {
             return Err(ScheduleRefusal::TooLate(wait));
         }
+        if item.rank == 0 {
+            self.guarded_until = now + GUARD_TIME;
+        }
         self.ranks[item.rank].push(item);
         Ok(())
     }
@@ -150,6 +162,9 @@
         }
         loop {
             let rank = self.choose_rank()?;
+            if self.keeps_slot_from(rank, now) {
+                return None;
+            }
             let item = self.ranks[rank].pop()?;
             let cost = Duration::from_secs_f64(self.ranks[rank].mean_cost());
             if now + cost > item.deadline {
@@ -161,6 +176,19 @@
         }
     }
 
+    /// Whether the last free slot is kept from work that would hold it for long
+    /// while urgent work arrives: a slot cannot be taken back, so an urgent
+    /// request would wait for the whole of it. The floors still hold, since
+    /// the other slots serve them.
+    fn keeps_slot_from(&self, rank: RankIndex, now: Instant) -> bool {
+        let last_free = self.running + 1 >= self.slots;
+        if rank == 0 || !last_free || self.slots < 2 || now >= self.guarded_until {
+            return false;
+        }
+        let urgent = self.ranks[0].mean_cost();
+        self.ranks[rank].mean_cost() > GUARD_FACTOR * urgent
+    }
+
     fn choose_rank(&self) -> Option<RankIndex> {
         let mut owed: Option<RankIndex> = None;
         let mut first = None;
--- a/crates/standin/src/database.rs
+++ b/crates/standin/src/database.rs
@@ -159,6 +159,13 @@
         self.state.add_route(address, through);
     }
 
+    /// Follows the primary of a term, as a coordinator would command.
+    pub fn follow(&self, term: u64, address: &str) {
+        if let Err(error) = self.state.follow(term, address) {
+            log::warn!("instance does not follow: {error}");
+        }
+    }
+
     /// What it reports of itself.
     #[must_use]
     pub fn status(&self) -> fulmarrill_position::InstanceStatus {
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -3,6 +3,7 @@
 mod check;
 mod demo;
 mod export;
+mod measure;
 mod operate;
 mod replay;
 mod serve;
@@ -50,6 +51,7 @@
             }
             standin::run_database(options)
         }
+        Command::Measure { json, scenarios } => measure::run(json, &scenarios),
         Command::Demo { seconds, listen } => demo::run(seconds, listen),
     }
 }
--- /dev/null
+++ b/src/commands/measure.rs
@@ -0,0 +1,46 @@
+//! `measure`: scenarios on a fleet on loopback.
+
+use std::path::{Path, PathBuf};
+
+use fulmarrill_measure::{Scenario, run_scenario};
+
+use crate::commands::read_file;
+use crate::error::CommandError;
+use crate::logging;
+
+/// Threads for the traffic of all hosts and stand-ins together.
+const TRAFFIC_THREADS: usize = 6;
+
+/// Runs each scenario; a lost or doubled write makes the command fail.
+pub fn run(json: bool, paths: &[PathBuf]) -> Result<(), CommandError> {
+    fulmarrill_runtime::start_threads(TRAFFIC_THREADS);
+    logging::start("error");
+    let mut faults = 0;
+    for path in paths {
+        let scenario = read_scenario(path)?;
+        let result = smol::block_on(run_scenario(&scenario))?;
+        faults += result.faults.len();
+        if json {
+            println!("{}", result.to_json());
+        } else {
+            println!("{}", result.show());
+        }
+    }
+    if faults > 0 {
+        return Err(CommandError::Untrue(format!(
+            "{faults} writes were lost or doubled"
+        )));
+    }
+    Ok(())
+}
+
+fn read_scenario(path: &Path) -> Result<Scenario, CommandError> {
+    let text = read_file(path)?;
+    Scenario::parse(&text).map_err(|error| CommandError::Refused {
+        path: path.display().to_string(),
+        faults: vec![fulmarrill_document::DocumentFault::new(
+            format!("line {}, column {}", error.line(), error.column()),
+            error.to_string(),
+        )],
+    })
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -6,6 +6,7 @@
 use fulmarrill_fleet::FleetError;
 use fulmarrill_host::HostError;
 use fulmarrill_http::HttpError;
+use fulmarrill_measure::MeasureError;
 use fulmarrill_platform::PlatformError;
 use fulmarrill_standin::DatabaseError;
 use thiserror::Error;
@@ -65,6 +66,9 @@
     /// A fleet cannot start.
     #[error(transparent)]
     Fleet(#[from] FleetError),
+    /// A scenario cannot be measured.
+    #[error(transparent)]
+    Measure(#[from] MeasureError),
     /// The system refused something else.
     #[error(transparent)]
     Io(#[from] io::Error),
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -68,6 +68,13 @@
         /// Statements of the schema.
         schema: Vec<String>,
     },
+    /// Measures scenarios.
+    Measure {
+        /// Whether to print JSON in place of tables.
+        json: bool,
+        /// The scenarios.
+        scenarios: Vec<PathBuf>,
+    },
     /// Starts everything on loopback and fails a primary under load.
     Demo {
         /// Seconds of load.
@@ -210,6 +217,18 @@
         .command("standin")
 }
 
+fn measure() -> impl Parser<Command> {
+    let json = long("json").help("Print JSON in place of tables").switch();
+    let scenarios = positional("SCENARIO")
+        .help("Scenario files")
+        .some("a scenario is needed");
+    construct!(Command::Measure { json, scenarios })
+        .to_options()
+        .descr("Runs scenarios on a fleet on loopback and prints what they measure")
+        .footer("Example: fulmarrill measure scenarios/flood-lowest.json\nExit code 2 if a write was lost or doubled.")
+        .command("measure")
+}
+
 fn demo() -> impl Parser<Command> {
     let seconds = long("seconds")
         .help("Seconds of load")
@@ -229,9 +248,9 @@
 pub fn command() -> OptionParser<Command> {
     let (serve, check, apply, status) = (serve(), check(), apply(), status());
     let (state, export, replay) = (state(), export(), replay());
-    let (standin, demo) = (standin(), demo());
+    let (standin, measure, demo) = (standin(), measure(), demo());
     construct!([
-        serve, check, apply, status, state, export, replay, standin, demo
+        serve, check, apply, status, state, export, replay, standin, measure, demo
     ])
     .to_options()
     .descr("A database proxy with session consistency")
