Report an open attempt as unknown; failures, records, drivers in tests

Cause: under contention (the whole test binary at once) keyed writes were reported as 'not run' (57014, 53400) and were in the database. The request's first attempt had lost its answer; a later one was refused, its key could not be given up for the same overload, and that refusal went to the caller. Ruled out: the claim's SQL, the termination of suspect connections, and the void claim itself, by the messages that the ledger now keeps. Change: the attempts of a request are judged together (AttemptLog); while one may still run the outcome is unknown unless the key could be given up. Unit test refusal_of_a_later_attempt_says_nothing_about_the_first. Also: a dropped host left its coordinators' tasks behind, and with them links and open transactions; commands of a change of primary go out on the open and on a new connection; followers are led at once; watches are kept ahead of need.

--- a/crates/host/src/control.rs
+++ b/crates/host/src/control.rs
@@ -44,11 +44,11 @@
     let name = format!("control-{}", context.settings.host);
     let run = move || {
         let executor = std::rc::Rc::new(LocalExecutor::new());
-        smol::block_on(
-            executor
-                .clone()
-                .run(run_control(context, events, executor.clone())),
-        );
+        let control = run_control(context, events, executor.clone());
+        smol::block_on(executor.run(control));
+        // Cancelled tasks are dropped by their next turn, and with them all
+        // that they hold.
+        while executor.try_tick() {}
     };
     std::thread::Builder::new()
         .name(name)
--- a/crates/host/src/control/coordinator.rs
+++ b/crates/host/src/control/coordinator.rs
@@ -96,6 +96,15 @@
 }
 
 impl InstanceLine {
+    /// A line to the same instance without a connection.
+    fn like(&self) -> Self {
+        Self {
+            address: self.address.clone(),
+            database: self.database.clone(),
+            connection: smol::lock::Mutex::new(None),
+        }
+    }
+
     /// Runs one of the adapter's statements, connecting anew if need be.
     async fn run(&self, sql: &str, timeout: Duration) -> Result<InstanceStatus, PgError> {
         let deadline = Instant::now() + timeout;
@@ -326,16 +335,34 @@
         }
     }
 
+    /// Makes everybody follow a new primary at once, without waiting for the
+    /// next look: until one does, nothing can be confirmed.
+    fn lead_followers(&self, group: Option<&DatabaseGroup>) {
+        let Some((group, primary)) = group.and_then(|g| Some((g, g.primary_instance()?))) else {
+            return;
+        };
+        let (sender, _) = async_channel::unbounded();
+        for instance in &group.instances {
+            if instance.name == primary.name {
+                continue;
+            }
+            let sql = DatabaseAdapter::follow(group.term, &primary.address);
+            let ignored = |name, _| PromotionEvent::Promoted(name);
+            self.command(instance.name.clone(), sql, &sender, ignored);
+        }
+    }
+
     /// Runs one plan from the reservation to the publication.
     async fn change_primary(&mut self, held: &VersionedGroup) {
         let started_at = Instant::now();
         let change_id = format_compact!("{}-{:016x}", self.context.run_name, fastrand::u64(..));
         let plan = PromotionPlan::new(held.group.clone(), &change_id);
         let deadline = started_at + PROMOTION_TIMEOUT;
-        let outcome = self.run_plan(plan, held.version, deadline).await;
+        let ended = self.run_plan(plan, held.version, deadline).await;
         let took = started_at.elapsed();
-        match outcome {
+        match ended.as_ref().and_then(PromotionPlan::outcome) {
             Some(PromotionOutcome::Done(name, term)) => {
+                self.lead_followers(ended.as_ref().map(PromotionPlan::group));
                 log::info!(
                     "{}: {name} is primary of term {term} after {took:?}",
                     self.database
@@ -353,7 +380,7 @@
         mut plan: PromotionPlan,
         mut version: u64,
         deadline: Instant,
-    ) -> Option<PromotionOutcome> {
+    ) -> Option<PromotionPlan> {
         let (sender, events) = async_channel::unbounded();
         let mut actions = vec![plan.start()];
         loop {
@@ -387,8 +414,8 @@
                     }
                 }
             }
-            if let Some(outcome) = plan.outcome() {
-                return Some(outcome.clone());
+            if plan.outcome().is_some() {
+                return Some(plan);
             }
             let event = fulmarrill_pg::before(deadline, events.recv())
                 .await
@@ -410,18 +437,29 @@
             sender.try_send(PromotionEvent::FenceFailed(name)).ok();
             return;
         };
-        let target = (line.address.clone(), line.database.clone());
+        let fresh = InstanceLine {
+            address: line.address.clone(),
+            database: line.database.clone(),
+            connection: smol::lock::Mutex::new(None),
+        };
+        let open = line
+            .connection
+            .try_lock()
+            .and_then(|mut place| place.take());
+        let used = InstanceLine {
+            connection: smol::lock::Mutex::new(open),
+            ..fresh.like()
+        };
         let sender = sender.clone();
-        // On a connection of its own: the usual one may be waiting for an
-        // answer that never comes.
+        // On the open connection, since a new one takes several round trips,
+        // and on a new one beside it, since the open one may have gone silent.
+        // Commands are idempotent; the first success counts.
         fulmarrill_runtime::spawn(async move {
-            let line = InstanceLine {
-                address: target.0,
-                database: target.1,
-                connection: smol::lock::Mutex::new(None),
-            };
-            let result = line.run(&sql, ANSWER_TIMEOUT).await;
-            sender.try_send(to_event(name, result)).ok();
+            let result = first_success(
+                used.run(&sql, ANSWER_TIMEOUT),
+                fresh.run(&sql, ANSWER_TIMEOUT),
+            );
+            sender.try_send(to_event(name, result.await)).ok();
         })
         .detach();
     }
@@ -475,6 +513,28 @@
     }
 }
 
+/// The first success of two futures, or silence once both have had their time.
+async fn first_success<T>(
+    a: impl Future<Output = Result<T, PgError>>,
+    b: impl Future<Output = Result<T, PgError>>,
+) -> Result<T, PgError> {
+    let a = async { success_or_nothing(a.await).await };
+    let b = async { success_or_nothing(b.await).await };
+    let timeout = async {
+        Timer::after(ANSWER_TIMEOUT).await;
+        Err(PgError::Silent)
+    };
+    smol::future::or(smol::future::or(a, b), timeout).await
+}
+
+/// Gives a success on; after a failure there is nothing to wait for.
+async fn success_or_nothing<T>(result: Result<T, PgError>) -> Result<T, PgError> {
+    match result {
+        Ok(value) => Ok(value),
+        Err(_) => std::future::pending().await,
+    }
+}
+
 fn store_event(written: bool, event: PromotionEvent) -> PromotionEvent {
     if written {
         event
--- a/crates/host/src/entry/writes.rs
+++ b/crates/host/src/entry/writes.rs
@@ -5,8 +5,8 @@
 
 use compact_str::CompactString;
 use fulmarrill_idempotency::{
-    AttemptResult, RecoveryDecision, RepeatSafety, RequestKey, StoredClaim, decide_recovery,
-    lookup_sql, request_hash, void_sql,
+    AttemptLog, AttemptResult, RecoveryDecision, RepeatSafety, RequestKey, StoredClaim,
+    decide_recovery, lookup_sql, request_hash, void_sql,
 };
 use fulmarrill_peer::{NotRunReason, WorkAnswer, WorkKind};
 use fulmarrill_pg::{DatabaseConnection, ExchangeAnswer};
@@ -35,7 +35,7 @@
         (None, false) => RepeatSafety::Unsafe,
     };
     context.entry.note_request();
-    let mut tainted = false;
+    let mut attempts = AttemptLog::new();
     for attempt in 1.. {
         let listener = context.view.listen();
         let routed = attempt_write(context, request, safety).await;
@@ -44,24 +44,21 @@
             WorkAnswer::NotRun { reason, .. } => (AttemptResult::NotRun, Some(*reason)),
             WorkAnswer::Unknown { .. } => (AttemptResult::Unknown, None),
         };
-        if reason.is_some_and(is_final) && !tainted {
+        let result = attempts.note(result);
+        if reason.is_some_and(is_final) && !attempts.is_open() {
             return routed;
         }
-        // Once an attempt of a keyed request is open, a refusal of a later
-        // one says nothing about the first.
-        tainted |= result == AttemptResult::Unknown;
-        let result = if tainted {
-            AttemptResult::Unknown
-        } else {
-            result
-        };
         let allowed = reason.is_some_and(waits_for_view) || context.entry.take_retry();
         match decide_recovery(result, safety, allowed, Instant::now(), request.deadline) {
             RecoveryDecision::Retry => {}
-            RecoveryDecision::ClaimVoid => return give_key_up(context, request, routed).await,
-            RecoveryDecision::ReportNotRun | RecoveryDecision::ReportUnknown => {
-                return routed;
+            RecoveryDecision::ClaimVoid => {
+                return give_key_up(context, request)
+                    .await
+                    .unwrap_or_else(still_open);
             }
+            RecoveryDecision::ReportUnknown if reason.is_none() => return routed,
+            RecoveryDecision::ReportUnknown => return still_open(),
+            RecoveryDecision::ReportNotRun => return routed,
         }
         let delay = backoff_delay(attempt, RETRY_BASE, RETRY_MOST, fastrand::f64());
         context
@@ -72,6 +69,13 @@
     RoutedAnswer::new(WorkAnswer::unknown("no attempt was made"))
 }
 
+/// The answer while an attempt may still run, whatever became of later ones.
+fn still_open() -> RoutedAnswer {
+    RoutedAnswer::new(WorkAnswer::unknown(
+        "no attempt at the request brought an answer",
+    ))
+}
+
 /// Refusals that another try would meet again.
 fn is_final(reason: NotRunReason) -> bool {
     matches!(
@@ -131,35 +135,26 @@
 }
 
 /// Claims the key without work. If that commits, the request can never run; if
-/// the key is taken, its row has the answer.
-async fn give_key_up(
-    context: &SharedContext,
-    request: &EntryRequest,
-    unknown: RoutedAnswer,
-) -> RoutedAnswer {
+/// the key is taken, its row has the answer. None if neither is known.
+async fn give_key_up(context: &SharedContext, request: &EntryRequest) -> Option<RoutedAnswer> {
     let text = request.key.as_deref().unwrap_or_default();
     let kept = Duration::MAX / 4;
-    let Ok(key) = RequestKey::parse(text, std::time::SystemTime::now(), kept) else {
-        return unknown;
-    };
+    let key = RequestKey::parse(text, std::time::SystemTime::now(), kept).ok()?;
     let hash = request_hash(&request.payload);
     let claim = void_sql(&key, &request.customer, &hash);
-    let Some(answer) = run_plain(context, request, &claim).await else {
-        return unknown;
-    };
+    let answer = run_plain(context, request, &claim).await?;
     if answer.error.is_none() && !answer.rows().is_empty() {
         let text = "the request was given up before it ran; send it again under a new key";
-        return RoutedAnswer::new(WorkAnswer::not_run(NotRunReason::Deadline, text));
+        return Some(RoutedAnswer::new(WorkAnswer::not_run(
+            NotRunReason::Deadline,
+            text,
+        )));
     }
-    let Some(answer) = run_plain(context, request, &lookup_sql(&key)).await else {
-        return unknown;
-    };
+    let answer = run_plain(context, request, &lookup_sql(&key)).await?;
     let rows = answer.rows();
-    let Some(row) = rows.first() else {
-        return unknown;
-    };
+    let row = rows.first()?;
     let stored = StoredClaim::from_columns(row.text(0).unwrap_or_default(), row.text(1));
-    stored_answer(&stored, &hash).unwrap_or(unknown)
+    stored_answer(&stored, &hash)
 }
 
 /// The answer that a key's row holds for this request.
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -80,6 +80,9 @@
             for instance in &group.group.instances {
                 if is_owned(context, view, instance) {
                     self.owner(context, view, &group.group, instance);
+                    // Ahead of need: any instance may become the primary, and
+                    // its owner must then confirm at once.
+                    self.watch(context, &group.group);
                 }
             }
         }
@@ -97,8 +100,9 @@
                 return false;
             };
             watch.set_group(&group.group);
-            let primary = group.group.primary_instance();
-            primary.is_none_or(|primary| self.owners().contains_key(&primary.name))
+            let owners = self.owners();
+            let mut members = group.group.instances.iter();
+            members.any(|instance| owners.contains_key(&instance.name))
         });
     }
 
--- a/crates/host/src/owner/instance.rs
+++ b/crates/host/src/owner/instance.rs
@@ -22,7 +22,7 @@
 use crate::view::ControlView;
 
 /// Connections of an instance that are left to the hosts that watch it.
-const WATCH_CONNECTIONS: usize = 4;
+const WATCH_CONNECTIONS: usize = 6;
 /// Connections of a pool that are never pinned, so that others go on.
 const UNPINNED_CONNECTIONS: usize = 2;
 /// Time after which an idle transaction is rolled back.
--- a/crates/idempotency/src/lib.rs
+++ b/crates/idempotency/src/lib.rs
@@ -27,4 +27,6 @@
     request_hash, store_sql, void_sql,
 };
 pub use crate::key::{KeyError, RequestKey};
-pub use crate::recovery::{AttemptResult, RecoveryDecision, RepeatSafety, decide_recovery};
+pub use crate::recovery::{
+    AttemptLog, AttemptResult, RecoveryDecision, RepeatSafety, decide_recovery,
+};
--- a/crates/idempotency/src/recovery.rs
+++ b/crates/idempotency/src/recovery.rs
@@ -24,6 +24,39 @@
     ReportUnknown,
 }
 
+/// What all attempts at one request together allow to be said.
+///
+/// Once an attempt's outcome is unknown, a refusal of a later attempt says
+/// nothing about the first, which may still run.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AttemptLog {
+    open: bool,
+}
+
+impl AttemptLog {
+    /// No attempt yet.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes how an attempt ended; returns what is known of the request.
+    pub fn note(&mut self, result: AttemptResult) -> AttemptResult {
+        self.open |= result == AttemptResult::Unknown;
+        if self.open {
+            AttemptResult::Unknown
+        } else {
+            AttemptResult::NotRun
+        }
+    }
+
+    /// Whether an attempt may still run.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.open
+    }
+}
+
 /// Whether a request may be sent a second time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RepeatSafety {
--- a/crates/idempotency/tests/keys.rs
+++ b/crates/idempotency/tests/keys.rs
@@ -2,13 +2,13 @@
 
 use std::time::{Duration, SystemTime};
 
-use fulmarrill_idempotency::{KeyError, RequestKey};
+use fulmarrill_idempotency::{AttemptLog, AttemptResult, KeyError, RequestKey};
 use rstest::rstest;
 
 const KEPT: Duration = Duration::from_hours(24);
 
 fn now() -> SystemTime {
-    SystemTime::UNIX_EPOCH + Duration::from_hours(500000)
+    SystemTime::UNIX_EPOCH + Duration::from_hours(500_000)
 }
 
 #[rstest]
@@ -46,3 +46,17 @@
         Err(KeyError::Future(_))
     ));
 }
+
+/// Issue 4: a later attempt's refusal was reported as 'not run' while the
+/// first attempt, whose answer was lost, ran.
+#[test]
+fn refusal_of_a_later_attempt_says_nothing_about_the_first() {
+    let mut attempts = AttemptLog::new();
+    assert_eq!(attempts.note(AttemptResult::NotRun), AttemptResult::NotRun);
+    assert_eq!(
+        attempts.note(AttemptResult::Unknown),
+        AttemptResult::Unknown
+    );
+    assert_eq!(attempts.note(AttemptResult::NotRun), AttemptResult::Unknown);
+    assert!(attempts.is_open());
+}
--- a/crates/load/src/ledger.rs
+++ b/crates/load/src/ledger.rs
@@ -7,10 +7,11 @@
 use thiserror::Error;
 
 /// What a caller was told about a write.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum WriteFate {
     Acknowledged,
-    NotRun,
+    /// With what the caller was told.
+    NotRun(CompactString),
     Unknown,
 }
 
@@ -24,8 +25,8 @@
     #[error("write {0} is in the database {1} times")]
     Doubled(CompactString, usize),
     /// A write that was said not to have run is in the database.
-    #[error("write {0} was said not to have run and is in the database")]
-    RanAfterAll(CompactString),
+    #[error("write {0} was said not to have run ({1}) and is in the database")]
+    RanAfterAll(CompactString, CompactString),
 }
 
 impl LedgerFault {
@@ -33,7 +34,7 @@
     #[must_use]
     pub fn id(&self) -> &str {
         match self {
-            Self::Lost(id) | Self::Doubled(id, _) | Self::RanAfterAll(id) => id,
+            Self::Lost(id) | Self::Doubled(id, _) | Self::RanAfterAll(id, _) => id,
         }
     }
 }
@@ -61,8 +62,9 @@
     }
 
     /// Notes a refusal.
-    pub fn refuse(&self, id: &str) {
-        self.lock().insert(id.into(), WriteFate::NotRun);
+    pub fn refuse(&self, id: &str, message: &str) {
+        self.lock()
+            .insert(id.into(), WriteFate::NotRun(message.into()));
     }
 
     /// Notes that nothing is known.
@@ -97,8 +99,8 @@
                 WriteFate::Acknowledged if count == 0 => {
                     faults.push(LedgerFault::Lost(id.clone()));
                 }
-                WriteFate::NotRun if count > 0 => {
-                    faults.push(LedgerFault::RanAfterAll(id.clone()));
+                WriteFate::NotRun(message) if count > 0 => {
+                    faults.push(LedgerFault::RanAfterAll(id.clone(), message.clone()));
                 }
                 _ => {}
             }
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -86,6 +86,21 @@
         }
     }
 
+    /// Adds another report of the same stream.
+    pub fn merge(&mut self, other: &Self) {
+        self.served += other.served;
+        self.in_time += other.in_time;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.failed += other.failed;
+        self.stale += other.stale;
+        // Both histograms have the same bounds.
+        self.times.add(&other.times).ok();
+        for (message, count) in &other.messages {
+            *self.messages.entry(message.clone()).or_default() += count;
+        }
+    }
+
     /// Number of requests.
     #[must_use]
     pub fn offered(&self) -> u64 {
@@ -112,6 +127,15 @@
 }
 
 impl LoadReport {
+    /// Adds another run's report; the longest gap of both stays.
+    pub fn merge(&mut self, other: &Self) {
+        for (name, stream) in &other.streams {
+            self.streams.entry(name.clone()).or_default().merge(stream);
+        }
+        self.write_gap = self.write_gap.max(other.write_gap);
+        self.acknowledged += other.acknowledged;
+    }
+
     /// One row per stream.
     #[must_use]
     pub fn show_table(&self) -> String {
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -275,7 +275,9 @@
                 ledger.acknowledge(&self.id);
                 self.state.note_acknowledged();
             }
-            RequestEnd::NotRun(_) | RequestEnd::Failed(_) => ledger.refuse(&self.id),
+            RequestEnd::NotRun(message) | RequestEnd::Failed(message) => {
+                ledger.refuse(&self.id, message);
+            }
             RequestEnd::Unknown(_) => ledger.leave_open(&self.id),
         }
     }
--- a/crates/measure/src/result.rs
+++ b/crates/measure/src/result.rs
@@ -81,14 +81,13 @@
     #[must_use]
     pub fn show(&self) -> String {
         let mut text = format!("scenario {}\n", self.name);
-        for (number, round) in self.rounds.iter().enumerate() {
-            if self.rounds.len() > 1 && number + 1 < self.rounds.len() {
-                continue;
-            }
-            let _ = write!(text, "{}", round.show_table());
-            let _ = write!(text, "{}", round.show_messages(MESSAGES_SHOWN));
-            let _ = writeln!(text, "useful worth {}", self.useful_worth(round));
+        let mut all = LoadReport::default();
+        for round in &self.rounds {
+            all.merge(round);
         }
+        let _ = write!(text, "{}", all.show_table());
+        let _ = write!(text, "{}", all.show_messages(MESSAGES_SHOWN));
+        let _ = writeln!(text, "useful worth {}", self.useful_worth(&all));
         if let Some(baseline) = &self.baseline {
             let _ = writeln!(text, "baseline");
             let _ = write!(text, "{}", baseline.show_table());
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -45,7 +45,7 @@
     let slow = Duration::from_millis(20);
     let (mut chosen_time, mut turn_time) = (Duration::ZERO, Duration::ZERO);
     let mut queued = [0_u32; 2];
-    for turn in 0..40 {
+    for turn in 0..40_u32 {
         let views = [
             InstanceView::new("fast", FLOOR).with_answer_at(now + fast * (queued[0] + 1)),
             InstanceView::new("slow", FLOOR).with_answer_at(now + slow * (queued[1] + 1)),
@@ -54,8 +54,8 @@
         let index = usize::from(chosen.name == "slow");
         queued[index] += 1;
         chosen_time += [fast, slow][index] * queued[index];
-        let in_turn = choose_in_turn(&views, turn).expect("one");
-        turn_time += [fast, slow][usize::from(in_turn.name == "slow")] * (turn as u32 / 2 + 1);
+        let in_turn = choose_in_turn(&views, turn as usize).expect("one");
+        turn_time += [fast, slow][usize::from(in_turn.name == "slow")] * (turn / 2 + 1);
     }
     assert!(
         chosen_time * 3 < turn_time,
--- a/crates/schedule/tests/floods.rs
+++ b/crates/schedule/tests/floods.rs
@@ -8,6 +8,8 @@
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 
 const SLOTS: usize = 2;
+/// The same as a real number.
+const SLOTS_REAL: f64 = 2.0;
 const SERVICE: Duration = Duration::from_millis(4);
 const DEADLINE: Duration = Duration::from_millis(400);
 const FLOORS: [f64; 3] = [0.3, 0.25, 0.1];
@@ -115,7 +117,8 @@
 fn arrivals(rates: [f64; 3], seconds: f64) -> Vec<Arrival> {
     let mut arrivals = Vec::new();
     for (rank, rate) in rates.iter().enumerate() {
-        let mut at = 0.000_1 * (rank as f64 + 1.0);
+        // No two ranks arrive at the same moment.
+        let mut at = [0.000_1, 0.000_2, 0.000_3][rank];
         while at < seconds {
             arrivals.push(Arrival {
                 at: Duration::from_secs_f64(at),
@@ -154,9 +157,8 @@
 fn flood_of_the_urgent_leaves_each_rank_its_floor() {
     let seconds = 5.0;
     let ranked = run_ranked(&arrivals([10.0 * CAPACITY, 400.0, 400.0], seconds));
-    for rank in 1..3 {
-        let share = ranked.busy[rank].as_secs_f64() / (seconds * SLOTS as f64);
-        let floor = FLOORS[rank];
+    for (rank, floor) in FLOORS.iter().enumerate().skip(1) {
+        let share = ranked.busy[rank].as_secs_f64() / (seconds * SLOTS_REAL);
         assert!(
             share >= 0.9 * floor,
             "rank {rank} keeps {share:.3} of a floor of {floor}"
@@ -184,7 +186,7 @@
 #[test]
 fn what_a_rank_does_not_use_goes_to_the_others() {
     let ranked = run_ranked(&arrivals([1.0, 1.0, 10.0 * CAPACITY], 5.0));
-    let share = ranked.busy[2].as_secs_f64() / (5.0 * SLOTS as f64);
+    let share = ranked.busy[2].as_secs_f64() / (5.0 * SLOTS_REAL);
     assert!(
         share > 0.95,
         "the lowest rank gets {share:.3} of idle slots"
@@ -233,10 +235,10 @@
             arrivals.sort_by_key(|arrival| arrival.at);
             let (ranked, naive) = (run_ranked(&arrivals), run_first_come(&arrivals));
             prop_assert!(ranked.in_time[0] >= naive.in_time[0]);
-            let offered = arrivals.len() as u32;
-            let done: u32 = ranked.waits.iter().map(|waits| waits.len() as u32).sum();
+            let offered = arrivals.len();
+            let done: usize = ranked.waits.iter().map(Vec::len).sum();
             let refused: u32 = ranked.refused.iter().sum();
-            prop_assert!(done + refused <= offered);
+            prop_assert!(done + refused as usize <= offered);
             Ok(())
         })
         .expect("no arrivals break the promise");
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -146,6 +146,14 @@
             .map(|slot| slot.held.clone())
     }
 
+    /// All objects of a kind as they are, whatever the faults.
+    #[must_use]
+    pub fn objects(&self, kind: &str) -> Vec<StoredObject> {
+        let inner = self.state.lock();
+        let of_kind = inner.objects.iter().filter(|(key, _)| key.kind == kind);
+        of_kind.map(|(_, slot)| slot.held.clone()).collect()
+    }
+
     /// Runs until the process ends.
     pub async fn wait(self) {
         self.task.await;
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,427 @@
+//! Failures of connections, hosts and the store, in one process.
+
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use fulmarrill_fleet::LocalFleet;
+use fulmarrill_http::{HttpClient, Method};
+use fulmarrill_load::{
+    CallerPool, LoadKind, LoadPlan, LoadReport, LoadStream, RequestEnd, run_load,
+};
+use fulmarrill_standin::{PlatformFaults, PlatformMode};
+use serde_json::json;
+
+use crate::util::{DATABASE, PATIENCE, callers_of, faults_of, read_json, small_layout, wait_until};
+
+async fn start() -> LocalFleet {
+    LocalFleet::start(small_layout())
+        .await
+        .expect("the fleet starts")
+}
+
+/// Runs renewals and scans while `fail` does its work after a second; then the
+/// ledger must hold and no session may have read stale data.
+async fn load_while(
+    fleet: &mut LocalFleet,
+    seed: u64,
+    fail: impl AsyncFnOnce(&mut LocalFleet),
+) -> LoadReport {
+    let plan = LoadPlan::new(DATABASE, callers_of(fleet), seed)
+        .with_time(Duration::from_secs(4))
+        .with_stream(LoadStream::new("renewals", LoadKind::WriteThenRead, 20.0))
+        .with_stream(LoadStream::new("counter", LoadKind::Transaction, 5.0))
+        .with_stream(LoadStream::new("scans", LoadKind::Read, 40.0));
+    let load = smol::spawn({
+        let plan = plan.clone();
+        async move { run_load(&plan).await }
+    });
+    smol::Timer::after(Duration::from_secs(1)).await;
+    fail(fleet).await;
+    let report = load.await;
+    assert_eq!(report.streams["renewals"].stale, 0);
+    assert_eq!(faults_of(&plan, &callers_of(fleet)).await, Vec::new());
+    report
+}
+
+fn is_host(name: &str) -> bool {
+    name.starts_with('h')
+}
+
+fn is_instance(name: &str) -> bool {
+    name.starts_with(DATABASE)
+}
+
+#[test]
+fn database_connections_that_go_silent_are_replaced() {
+    smol::block_on(async {
+        let mut fleet = start().await;
+        let report = load_while(&mut fleet, 61, async |fleet| {
+            fleet.set_paths(
+                |from, to| is_host(from) && is_instance(to),
+                |faults| faults.silence_open = true,
+            );
+        })
+        .await;
+        assert!(report.streams["renewals"].served > 0);
+        assert!(report.streams["scans"].served > 0);
+    });
+}
+
+#[test]
+fn peer_links_that_go_silent_are_replaced() {
+    smol::block_on(async {
+        let mut fleet = start().await;
+        let report = load_while(&mut fleet, 62, async |fleet| {
+            fleet.set_paths(
+                |from, to| is_host(from) && is_host(to),
+                |faults| faults.silence_open = true,
+            );
+        })
+        .await;
+        assert!(report.streams["scans"].served > 0);
+    });
+}
+
+#[test]
+fn store_watches_that_go_silent_are_made_anew() {
+    smol::block_on(async {
+        let fleet = start().await;
+        fleet.set_paths(
+            |_, to| to == "platform",
+            |faults| faults.silence_open = true,
+        );
+        let host = fleet
+            .host("h1")
+            .expect("a host")
+            .addresses()
+            .operator
+            .clone();
+        let version = apply(&host, held_version(&host).await, "watch").await;
+        assert!(version.is_ok());
+        wait_in_force(&fleet, version.unwrap_or_default()).await;
+    });
+}
+
+#[test]
+fn regions_that_part_and_meet_again_lose_nothing() {
+    smol::block_on(async {
+        let mut fleet = start().await;
+        load_while(&mut fleet, 63, async |fleet| {
+            let far = |fleet: &LocalFleet, name: &str| {
+                fleet.layout().region_of(&fleet.site_of(name)) == "zapad"
+            };
+            fleet.set_paths(
+                |from, to| far(fleet, from) != far(fleet, to),
+                |faults| faults.silent = true,
+            );
+            smol::Timer::after(Duration::from_secs(2)).await;
+            fleet.set_paths(|_, _| true, |_| {});
+        })
+        .await;
+    });
+}
+
+#[test]
+fn killed_host_leaves_no_transaction_and_loses_nothing() {
+    smol::block_on(async {
+        let mut fleet = start().await;
+        let open = CallerPool::new(&[fleet.caller_address("h4")], DATABASE, "counter", "city");
+        let deadline = Instant::now() + PATIENCE;
+        let steps = [
+            "BEGIN".into(),
+            "INSERT INTO renewals (id, badge) VALUES ('open', 1)".into(),
+        ];
+        let end = open.run(&steps, None, deadline).await;
+        assert_eq!(end, RequestEnd::Served(Vec::new()));
+        let report = load_while(&mut fleet, 64, async |fleet| {
+            fleet.kill_host("h4");
+        })
+        .await;
+        assert!(
+            report.streams["renewals"].served > 0,
+            "the lock of the open transaction is gone"
+        );
+        let held = crate::util::read_back(&callers_of(&fleet)).await;
+        assert!(!held.contains(&CompactString::from("open")));
+    });
+}
+
+#[test]
+fn store_outage_stops_neither_reads_nor_writes_nor_a_new_host() {
+    smol::block_on(async {
+        let mut fleet = start().await;
+        let down = PlatformFaults {
+            mode: PlatformMode::Refusing,
+            ..PlatformFaults::default()
+        };
+        let report = load_while(&mut fleet, 65, async |fleet| {
+            fleet.platform().set_faults(down);
+        })
+        .await;
+        for service in ["renewals", "scans"] {
+            let stream = &report.streams[service];
+            assert_eq!(
+                stream.served,
+                stream.offered(),
+                "{service}: {:?}",
+                stream.messages
+            );
+        }
+        // A host that starts during the outage learns everything from peers.
+        fleet.kill_host("h1");
+        let layout = fleet.layout().hosts[0].clone();
+        fleet.start_host(&layout).await.expect("the host starts");
+        let address = fleet
+            .host("h1")
+            .expect("a host")
+            .addresses()
+            .operator
+            .clone();
+        wait_until(async || {
+            let state = read_json(&address, "/state").await;
+            state["versions"]["document"] != 0 && state["versions"]["groups"] != 0
+        })
+        .await;
+        let pool = CallerPool::new(&[fleet.caller_address("h1")], DATABASE, "renewals", "city");
+        let insert = "INSERT INTO renewals (id, badge) VALUES ('outage', 1)".into();
+        let end = pool.run(&[insert], None, Instant::now() + PATIENCE).await;
+        assert_eq!(end, RequestEnd::Served(Vec::new()));
+    });
+}
+
+#[test]
+fn primary_lost_while_the_store_is_down_is_replaced_when_it_is_back() {
+    smol::block_on(async {
+        let mut fleet = start().await;
+        let old = fleet.primary_of(DATABASE).expect("a primary");
+        let down = PlatformFaults {
+            mode: PlatformMode::Refusing,
+            ..PlatformFaults::default()
+        };
+        load_while(&mut fleet, 66, async |fleet| {
+            fleet.platform().set_faults(down);
+            fleet.set_paths(
+                |from, to| from == old || to == old,
+                |faults| faults.cut = true,
+            );
+            smol::Timer::after(Duration::from_secs(2)).await;
+            assert_eq!(
+                fleet.primary_of(DATABASE),
+                Some(old.clone()),
+                "nobody may promote alone"
+            );
+            fleet.platform().set_faults(PlatformFaults::default());
+        })
+        .await;
+        assert_ne!(fleet.primary_of(DATABASE), Some(old));
+    });
+}
+
+#[test]
+fn change_of_primary_survives_lost_answers_of_the_store() {
+    smol::block_on(async {
+        let mut fleet = start().await;
+        let old = fleet.primary_of(DATABASE).expect("a primary");
+        load_while(&mut fleet, 67, async |fleet| {
+            // The reservation and the publication take effect unanswered.
+            let faults = PlatformFaults {
+                lose_answers: 2,
+                ..PlatformFaults::default()
+            };
+            fleet.platform().set_faults(faults);
+            fleet.kill_instance(&old);
+        })
+        .await;
+        assert_ne!(fleet.primary_of(DATABASE), Some(old));
+    });
+}
+
+#[test]
+fn leaving_replica_gets_no_new_work() {
+    smol::block_on(async {
+        let mut fleet = start().await;
+        let leaving = "registry-1-b";
+        load_while(&mut fleet, 68, async |fleet| {
+            fleet.change_group(DATABASE, |group| {
+                for instance in &mut group.instances {
+                    instance.leaving = instance.name == leaving;
+                }
+            });
+            smol::Timer::after(Duration::from_secs(1)).await;
+            let before = served_at(fleet, leaving).await;
+            smol::Timer::after(Duration::from_secs(1)).await;
+            assert_eq!(served_at(fleet, leaving).await, before);
+        })
+        .await;
+    });
+}
+
+/// Requests that all owners together have served at an instance.
+async fn served_at(fleet: &LocalFleet, instance: &str) -> u64 {
+    let mut served = 0;
+    for name in fleet.host_names() {
+        let address = fleet
+            .host(&name)
+            .expect("a host")
+            .addresses()
+            .operator
+            .clone();
+        let state = read_json(&address, "/state").await;
+        for owner in state["owners"]["instances"]
+            .as_array()
+            .into_iter()
+            .flatten()
+        {
+            if owner["instance"] == instance {
+                served += owner["served"].as_u64().unwrap_or(0);
+            }
+        }
+    }
+    served
+}
+
+async fn held_version(host: &str) -> u64 {
+    read_json(host, "/document").await["version"]
+        .as_u64()
+        .unwrap_or(0)
+}
+
+/// Puts a document in force; the version, or the status of the refusal.
+async fn apply(host: &str, version: u64, change: &str) -> Result<u64, u16> {
+    let text = json!({ "ranks": [{ "name": change }] }).to_string();
+    let body = json!({ "version": version, "text": text, "change_id": change }).to_string();
+    let client = HttpClient::new(host);
+    let deadline = Instant::now() + PATIENCE;
+    let answer = client
+        .request(Method::POST, "/apply", body.into_bytes(), deadline)
+        .await;
+    let answer = answer.expect("the host answers");
+    let value: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    match answer.status {
+        200 => Ok(value["version"].as_u64().unwrap_or(0)),
+        status => Err(status),
+    }
+}
+
+async fn wait_in_force(fleet: &LocalFleet, version: u64) {
+    for name in fleet.host_names() {
+        let host = fleet
+            .host(&name)
+            .expect("a host")
+            .addresses()
+            .operator
+            .clone();
+        wait_until(async || held_version(&host).await >= version).await;
+    }
+}
+
+#[test]
+fn of_racing_operators_one_is_accepted_and_in_force_everywhere() {
+    smol::block_on(async {
+        let fleet = start().await;
+        let addresses: Vec<CompactString> = fleet
+            .host_names()
+            .iter()
+            .map(|name| {
+                fleet
+                    .host(name)
+                    .expect("a host")
+                    .addresses()
+                    .operator
+                    .clone()
+            })
+            .collect();
+        for round in 0..5 {
+            wait_in_force(&fleet, held_version(&addresses[0]).await).await;
+            let version = held_version(&addresses[0]).await;
+            let mut races = Vec::new();
+            for (index, address) in addresses.iter().enumerate() {
+                let (address, change) = (address.clone(), format!("race-{round}-{index}"));
+                races.push(smol::spawn(async move {
+                    apply(&address, version, &change).await
+                }));
+            }
+            let mut accepted = Vec::new();
+            for race in races {
+                match race.await {
+                    Ok(version) => accepted.push(version),
+                    Err(status) => assert_eq!(status, 409, "a lost race is a conflict"),
+                }
+            }
+            assert_eq!(accepted.len(), 1);
+            wait_in_force(&fleet, accepted[0]).await;
+        }
+    });
+}
+
+#[test]
+fn lost_answer_to_an_operator_is_settled_by_reading_back() {
+    smol::block_on(async {
+        let fleet = start().await;
+        let host = fleet
+            .host("h1")
+            .expect("a host")
+            .addresses()
+            .operator
+            .clone();
+        let faults = PlatformFaults {
+            lose_answers: 1,
+            ..PlatformFaults::default()
+        };
+        fleet.platform().set_faults(faults);
+        let version = apply(&host, held_version(&host).await, "lost").await;
+        assert!(version.is_ok(), "{version:?}");
+        wait_in_force(&fleet, version.unwrap_or_default()).await;
+    });
+}
+
+#[test]
+fn store_that_shows_an_older_version_is_not_followed_back() {
+    smol::block_on(async {
+        let fleet = start().await;
+        let host = fleet
+            .host("h4")
+            .expect("a host")
+            .addresses()
+            .operator
+            .clone();
+        let version = apply(&host, held_version(&host).await, "newer")
+            .await
+            .expect("accepted");
+        wait_in_force(&fleet, version).await;
+        let faults = PlatformFaults {
+            stale_reads: true,
+            ..PlatformFaults::default()
+        };
+        fleet.platform().set_faults(faults);
+        for _ in 0..20 {
+            smol::Timer::after(Duration::from_millis(50)).await;
+            for name in fleet.host_names() {
+                let host = fleet
+                    .host(&name)
+                    .expect("a host")
+                    .addresses()
+                    .operator
+                    .clone();
+                assert!(held_version(&host).await >= version, "{name} fell back");
+            }
+        }
+    });
+}
+
+#[test]
+fn hosts_restarted_in_order_fail_no_request() {
+    smol::block_on(async {
+        let mut fleet = start().await;
+        let report = load_while(&mut fleet, 69, async |fleet| {
+            for host in fleet.layout().hosts.clone() {
+                let process = fleet.take_host(&host.name).expect("a running host");
+                process.leave().await;
+                fleet.start_host(&host).await.expect("the host starts");
+            }
+        })
+        .await;
+        let counter = &report.streams["counter"];
+        assert_eq!(counter.unknown, 0, "{:?}", counter.messages);
+    });
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -3,6 +3,8 @@
 mod commands;
 mod drivers;
 mod failover;
+mod failures;
 mod processes;
+mod records;
 mod traces;
 mod util;
