--- a/crates/fleet/src/local.rs
+++ b/crates/fleet/src/local.rs
@@ -447,6 +447,13 @@
         self.layout.platform_data_centre.clone()
     }
 
+    /// Bytes that have passed so far on the paths that `chosen` picks.
+    #[must_use]
+    pub fn bytes_on_paths(&self, chosen: impl Fn(&str, &str) -> bool) -> u64 {
+        let paths = self.paths.iter().filter(|((from, to), _)| chosen(from, to));
+        paths.map(|(_, forwarder)| forwarder.bytes_passed()).sum()
+    }
+
     /// Bytes that have passed between regions so far.
     #[must_use]
     pub fn bytes_between_regions(&self) -> u64 {
--- a/crates/host/src/control/coordinator.rs
+++ b/crates/host/src/control/coordinator.rs
@@ -14,7 +14,7 @@
 use fulmarrill_peer::{ControlGroup, ControlNews, PeerCall};
 use fulmarrill_pg::{DatabaseConnection, PgError};
 use fulmarrill_platform::ObjectKey;
-use fulmarrill_position::{DatabaseName, InstanceName, InstanceRole, InstanceStatus};
+use fulmarrill_position::{DatabaseName, InstanceName, InstanceRole, InstanceStatus, LogPoint};
 use fulmarrill_replication::{
     DatabaseGroup, GroupInstance, GroupMonitor, MonitorVerdict, PromotionAction, PromotionEvent,
     PromotionOutcome, PromotionPlan,
@@ -310,29 +310,34 @@
     }
 
     /// Waits until an instance that stays has received all that the leaving
-    /// primary has: the one with the newest log is promoted.
+    /// primary has: the one with the newest log is promoted. The primary takes
+    /// no writes meanwhile, so one question to it is enough.
     async fn wait_level(&self, group: &DatabaseGroup, primary: &GroupInstance, until: Instant) {
-        while Instant::now() < until {
-            let mut newest = None;
-            let mut level = false;
-            for instance in &group.instances {
-                let Some(line) = self.lines.get(&instance.name) else {
-                    continue;
-                };
-                let Ok(status) = line.run(DatabaseAdapter::STATUS, ANSWER_TIMEOUT).await else {
-                    continue;
-                };
-                if instance.name == primary.name {
-                    newest = Some(status.received);
-                } else if !instance.leaving && newest.is_some_and(|n| status.received >= n) {
-                    level = true;
-                }
+        let Some(line) = self.lines.get(&primary.name) else {
+            return;
+        };
+        let Ok(status) = line.run(DatabaseAdapter::STATUS, ANSWER_TIMEOUT).await else {
+            return;
+        };
+        let mut waits = Vec::new();
+        for instance in &group.instances {
+            if instance.name == primary.name || instance.leaving {
+                continue;
             }
-            if level {
-                return;
+            if let Some(line) = self.lines.get(&instance.name) {
+                waits.push(Box::pin(wait_received(line, status.received)));
             }
-            Timer::after(Duration::from_millis(2)).await;
         }
+        // Whoever is level first is enough; a far instance is not waited for.
+        let first = std::future::poll_fn(|context| {
+            for wait in &mut waits {
+                if wait.as_mut().poll(context).is_ready() {
+                    return std::task::Poll::Ready(());
+                }
+            }
+            std::task::Poll::Pending
+        });
+        fulmarrill_pg::before(until, first).await.ok();
     }
 
     /// Makes everybody follow a new primary at once, without waiting for the
@@ -513,6 +518,17 @@
     }
 }
 
+/// Returns once an instance has received everything up to `point`.
+async fn wait_received(line: &InstanceLine, point: LogPoint) {
+    loop {
+        let status = line.run(DatabaseAdapter::STATUS, ANSWER_TIMEOUT).await;
+        if status.is_ok_and(|status| status.received >= point) {
+            return;
+        }
+        Timer::after(Duration::from_millis(1)).await;
+    }
+}
+
 /// The first success of two futures, or silence once both have had their time.
 async fn first_success<T>(
     a: impl Future<Output = Result<T, PgError>>,
--- /dev/null
+++ b/crates/measure/src/cost.rs
@@ -0,0 +1,302 @@
+//! What the proxy itself costs: time per request, memory per idle session, and
+//! processor time and bytes of a host that only controls.
+
+use std::fmt::Write as _;
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use fulmarrill_fleet::{FleetLayout, HostLayout, LocalFleet};
+use fulmarrill_load::{CallerPool, RequestEnd, StreamReport};
+use fulmarrill_pg::{ConnectTarget, DatabaseConnection, PgError};
+use serde_json::{Value, json};
+use smol::Timer;
+
+use crate::run::MeasureError;
+
+/// Statements timed in each series.
+const STATEMENTS: u64 = 1500;
+/// Statements run before, to open connections.
+const WARM_UP: u64 = 100;
+/// Idle sessions opened for the memory of one.
+const IDLE_SESSIONS: u64 = 2000;
+/// Time for which an idle fleet is watched.
+const WATCH_TIME: Duration = Duration::from_secs(8);
+/// Time for one statement.
+const STATEMENT_TIMEOUT: Duration = Duration::from_secs(20);
+/// Clock ticks a second in `/proc`, the same on every Linux of today.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// A series of sequential statements.
+#[derive(Debug)]
+pub struct CostSeries {
+    /// What was measured.
+    pub name: &'static str,
+    /// Times of the statements.
+    pub report: StreamReport,
+}
+
+/// An idle fleet of some size.
+#[derive(Debug, Clone, Copy)]
+pub struct ControlCost {
+    /// Number of hosts.
+    pub hosts: usize,
+    /// Share of a core per host, with its part of the stand-ins.
+    pub core_share: f64,
+    /// Bytes a second per host, to and from other hosts, instances, platform.
+    pub bytes_per_second: [f64; 3],
+    /// Calls a second to the platform, of the whole fleet.
+    pub store_calls: f64,
+}
+
+/// A series to be measured: its statements by their number.
+struct SeriesPlan<'a> {
+    name: &'static str,
+    addresses: &'a [CompactString],
+    statements: &'a dyn Fn(u64) -> Vec<CompactString>,
+}
+
+/// Everything that was measured.
+#[derive(Debug, Default)]
+pub struct CostReport {
+    /// Times through the proxy and without it.
+    pub series: Vec<CostSeries>,
+    /// Bytes per idle session, both of its ends.
+    pub idle_session_bytes: f64,
+    /// Idle fleets.
+    pub control: Vec<ControlCost>,
+}
+
+impl CostReport {
+    /// A table for people.
+    #[must_use]
+    pub fn show(&self) -> String {
+        let mut text = format!("{:<28}{:>10}{:>10}\n", "sequential", "p50 ms", "p99 ms");
+        for series in &self.series {
+            let (p50, p99) = (series.report.time_ms(0.5), series.report.time_ms(0.99));
+            let _ = writeln!(text, "{:<28}{p50:>10.3}{p99:>10.3}", series.name);
+        }
+        let _ = writeln!(
+            text,
+            "bytes per idle session {:.0}",
+            self.idle_session_bytes
+        );
+        let _ = writeln!(
+            text,
+            "hosts  core share  peers B/s  instances B/s  platform B/s  calls/s"
+        );
+        for cost in &self.control {
+            let [peers, instances, platform] = cost.bytes_per_second;
+            let _ = writeln!(
+                text,
+                "{:>5}{:>12.4}{peers:>11.0}{instances:>15.0}{platform:>14.0}{:>9.1}",
+                cost.hosts, cost.core_share, cost.store_calls
+            );
+        }
+        text
+    }
+
+    /// The same as JSON.
+    #[must_use]
+    pub fn to_json(&self) -> Value {
+        let mut series = serde_json::Map::new();
+        for one in &self.series {
+            let times =
+                json!({ "p50_ms": one.report.time_ms(0.5), "p99_ms": one.report.time_ms(0.99) });
+            series.insert(one.name.to_owned(), times);
+        }
+        let mut control = Vec::new();
+        for cost in &self.control {
+            control.push(json!({
+                "hosts": cost.hosts,
+                "core_share": cost.core_share,
+                "bytes_per_second": cost.bytes_per_second,
+                "store_calls": cost.store_calls,
+            }));
+        }
+        json!({
+            "series": series,
+            "idle_session_bytes": self.idle_session_bytes,
+            "control": control,
+        })
+    }
+}
+
+/// Measures everything, one after the other.
+///
+/// # Errors
+///
+/// When a fleet does not start or a statement fails.
+pub async fn measure_cost() -> Result<CostReport, MeasureError> {
+    let mut report = CostReport::default();
+    measure_requests(&mut report).await?;
+    for hosts_per_site in [1, 3, 6, 12] {
+        report.control.push(measure_control(hosts_per_site).await?);
+    }
+    Ok(report)
+}
+
+/// A fleet without latencies whose statements take no time.
+fn bare_layout() -> FleetLayout {
+    FleetLayout::odznak()
+        .with_databases(1)
+        .with_one_host_per_site()
+        .with_latencies_us(0, 0)
+        .with_statement_us(0)
+}
+
+async fn measure_requests(report: &mut CostReport) -> Result<(), MeasureError> {
+    let mut fleet = LocalFleet::start(bare_layout()).await?;
+    let instances = fleet.open_paths_for("direct", "kosice-a").await?;
+    let direct: Vec<CompactString> = instances.iter().map(|a| a.to_string().into()).collect();
+    let host = vec![fleet.caller_address("h1")];
+    let read = |_| vec!["SELECT count(*) FROM badges WHERE id = 1".into()];
+    let write = |number| vec![insert(number)];
+    let keyed = |number| vec![key(number), insert(number)];
+    let plans: [SeriesPlan<'_>; 5] = [
+        SeriesPlan {
+            name: "read, direct",
+            addresses: &direct[1..2],
+            statements: &read,
+        },
+        SeriesPlan {
+            name: "read, by proxy",
+            addresses: &host,
+            statements: &read,
+        },
+        SeriesPlan {
+            name: "write, direct",
+            addresses: &direct[..1],
+            statements: &write,
+        },
+        SeriesPlan {
+            name: "write, by proxy",
+            addresses: &host,
+            statements: &write,
+        },
+        SeriesPlan {
+            name: "keyed write, by proxy",
+            addresses: &host,
+            statements: &keyed,
+        },
+    ];
+    for plan in plans {
+        let times = time_statements(plan.addresses, plan.statements).await?;
+        report.series.push(CostSeries {
+            name: plan.name,
+            report: times,
+        });
+    }
+    report.idle_session_bytes = measure_idle(&host[0]).await?;
+    Ok(())
+}
+
+fn insert(number: u64) -> CompactString {
+    format!("INSERT INTO renewals (id, badge) VALUES ('cost-{number}', 1)").into()
+}
+
+fn key(number: u64) -> CompactString {
+    let age = std::time::SystemTime::now().duration_since(std::time::SystemTime::UNIX_EPOCH);
+    let millis = age.unwrap_or_default().as_millis();
+    format!("SET fulmarrill.request_key = '{millis}-{number}'").into()
+}
+
+async fn time_statements(
+    addresses: &[CompactString],
+    statements: &dyn Fn(u64) -> Vec<CompactString>,
+) -> Result<StreamReport, MeasureError> {
+    let pool = CallerPool::new(addresses, "registry-1", "renewals", "city");
+    let mut report = StreamReport::new();
+    for number in 0..STATEMENTS + WARM_UP {
+        let started_at = Instant::now();
+        let end = pool
+            .run(&statements(number), None, started_at + STATEMENT_TIMEOUT)
+            .await;
+        if !matches!(end, RequestEnd::Served(_)) {
+            return Err(MeasureError::ReadBack(format!("{end:?}")));
+        }
+        if number >= WARM_UP {
+            report.note(&end, started_at.elapsed(), STATEMENT_TIMEOUT);
+        }
+    }
+    Ok(report)
+}
+
+/// Memory of one idle session, both of its ends being in this process.
+async fn measure_idle(address: &str) -> Result<f64, MeasureError> {
+    let failed = |error: PgError| MeasureError::ReadBack(error.to_string());
+    let before = resident_bytes();
+    let mut sessions = Vec::new();
+    for _ in 0..IDLE_SESSIONS {
+        let target = ConnectTarget::new(address, "city", "registry-1");
+        let deadline = Instant::now() + STATEMENT_TIMEOUT;
+        sessions.push(
+            DatabaseConnection::connect(&target, deadline)
+                .await
+                .map_err(failed)?,
+        );
+    }
+    let grown = resident_bytes() - before;
+    drop(sessions);
+    #[allow(clippy::cast_precision_loss)]
+    Ok(grown / IDLE_SESSIONS as f64)
+}
+
+/// Resident memory of this process.
+fn resident_bytes() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find(|line| line.starts_with("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<f64>().ok());
+    1024.0 * kilobytes.unwrap_or(0.0)
+}
+
+/// Processor time of this process, in seconds.
+fn processor_seconds() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let after_name = text.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let ticks = |index: usize| fields.get(index).and_then(|text| text.parse::<f64>().ok());
+    (ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0)) / TICKS_PER_SECOND
+}
+
+/// Watches an idle fleet.
+async fn measure_control(hosts_per_site: usize) -> Result<ControlCost, MeasureError> {
+    let mut layout = FleetLayout::odznak().with_latencies_us(0, 0);
+    layout.hosts.clear();
+    for site in &layout.sites {
+        for number in 0..hosts_per_site {
+            let name = format!("h-{}-{number}", site.data_centre).into();
+            layout.hosts.push(HostLayout {
+                name,
+                data_centre: site.data_centre.clone(),
+            });
+        }
+    }
+    let hosts = layout.hosts.len();
+    let fleet = LocalFleet::start(layout).await?;
+    Timer::after(Duration::from_secs(2)).await;
+    let kinds = ["h-", "registry", "platform"];
+    let bytes = |kind: &str| {
+        fleet.bytes_on_paths(|from, to| from.starts_with("h-") && to.starts_with(kind))
+    };
+    let before = kinds.map(bytes);
+    let (cpu, calls, watched_from) = (
+        processor_seconds(),
+        fleet.platform().calls(),
+        Instant::now(),
+    );
+    Timer::after(WATCH_TIME).await;
+    let seconds = watched_from.elapsed().as_secs_f64();
+    #[allow(clippy::cast_precision_loss)]
+    let count = hosts as f64;
+    let after = kinds.map(bytes);
+    #[allow(clippy::cast_precision_loss)]
+    let per_host = |index: usize| (after[index] - before[index]) as f64 / seconds / count;
+    #[allow(clippy::cast_precision_loss)]
+    let store_calls = (fleet.platform().calls() - calls) as f64 / seconds;
+    Ok(ControlCost {
+        hosts,
+        core_share: (processor_seconds() - cpu) / seconds / count,
+        bytes_per_second: [per_host(0), per_host(1), per_host(2)],
+        store_calls,
+    })
+}
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -13,11 +13,13 @@
 //! acknowledged when the primary says so.
 
 mod baseline;
+mod cost;
 mod result;
 mod run;
 mod scenario;
 
 pub use crate::baseline::NaiveProxy;
+pub use crate::cost::{ControlCost, CostReport, CostSeries, measure_cost};
 pub use crate::result::ScenarioResult;
 pub use crate::run::{MeasureError, run_scenario};
 pub use crate::scenario::{Scenario, ScenarioEvent, ScenarioStream, TimedEvent};
--- a/crates/replication/src/promotion.rs
+++ b/crates/replication/src/promotion.rs
@@ -180,9 +180,15 @@
         self.decide()
     }
 
-    /// Promotes as soon as the instances that stay are a majority; with the
-    /// replaced primary among them only when nothing else can still come.
+    /// Promotes as soon as a majority is fenced and an instance that stays has
+    /// the newest log of it; else once those that stay are a majority; with the
+    /// replaced primary only when nothing else can still come.
     fn decide(&mut self) -> Vec<PromotionAction> {
+        let newest = self.fenced.values().map(|status| status.received).max();
+        let enough = self.fenced.len() >= self.group.majority();
+        if enough && newest.is_some_and(|newest| self.candidate_at(newest, false).is_some()) {
+            return self.promote_best(false);
+        }
         let staying = self
             .fenced
             .keys()
--- a/crates/replication/tests/promotion.rs
+++ b/crates/replication/tests/promotion.rs
@@ -119,3 +119,15 @@
     group.primary = None;
     assert_eq!(group.remove_instance("b"), Err(GroupError::Promoting(1)));
 }
+
+/// A planned change: the leaving primary is fenced, and its successor holds as
+/// much, so nobody waits for an instance in a far region.
+#[test]
+fn successor_that_is_level_with_the_replaced_primary_is_promoted_at_once() {
+    let mut plan = reserved_plan();
+    plan.handle(fenced("a", 2, LogPoint::new(1, 28)));
+    assert_eq!(
+        plan.handle(fenced("b", 2, LogPoint::new(1, 28))),
+        promote("b", 2)
+    );
+}
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -51,7 +51,11 @@
             }
             standin::run_database(options)
         }
-        Command::Measure { json, scenarios } => measure::run(json, &scenarios),
+        Command::Measure {
+            json,
+            cost,
+            scenarios,
+        } => measure::run(json, cost, &scenarios),
         Command::Demo { seconds, listen } => demo::run(seconds, listen),
     }
 }
--- a/src/commands/measure.rs
+++ b/src/commands/measure.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
-use fulmarrill_measure::{Scenario, run_scenario};
+use fulmarrill_measure::{Scenario, measure_cost, run_scenario};
 
 use crate::commands::read_file;
 use crate::error::CommandError;
@@ -11,10 +11,18 @@
 /// Threads for the traffic of all hosts and stand-ins together.
 const TRAFFIC_THREADS: usize = 6;
 
-/// Runs each scenario; a lost or doubled write makes the command fail.
-pub fn run(json: bool, paths: &[PathBuf]) -> Result<(), CommandError> {
+/// Measures the cost if asked to, then runs each scenario; a lost or doubled write makes the command fail.
+pub fn run(json: bool, cost: bool, paths: &[PathBuf]) -> Result<(), CommandError> {
     fulmarrill_runtime::start_threads(TRAFFIC_THREADS);
     logging::start("error");
+    if cost {
+        let report = smol::block_on(measure_cost())?;
+        if json {
+            println!("{}", report.to_json());
+        } else {
+            println!("{}", report.show());
+        }
+    }
     let mut faults = 0;
     for path in paths {
         let scenario = read_scenario(path)?;
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -72,6 +72,8 @@
     Measure {
         /// Whether to print JSON in place of tables.
         json: bool,
+        /// Whether to measure what the proxy itself costs.
+        cost: bool,
         /// The scenarios.
         scenarios: Vec<PathBuf>,
     },
@@ -219,10 +221,11 @@
 
 fn measure() -> impl Parser<Command> {
     let json = long("json").help("Print JSON in place of tables").switch();
-    let scenarios = positional("SCENARIO")
-        .help("Scenario files")
-        .some("a scenario is needed");
-    construct!(Command::Measure { json, scenarios })
+    let cost = long("cost")
+        .help("Measure what the proxy itself costs, too")
+        .switch();
+    let scenarios = positional("SCENARIO").help("Scenario files").many();
+    construct!(Command::Measure { json, cost, scenarios })
         .to_options()
         .descr("Runs scenarios on a fleet on loopback and prints what they measure")
         .footer("Example: fulmarrill measure scenarios/flood-lowest.json\nExit code 2 if a write was lost or doubled.")
