Test the pages of the operators' port

Cause: console, metrics and state were looked at by hand only. Change: a test reads each page of a host that runs as a process. Conclusion: the first draft waited a minute for metrics of a host that nobody had asked anything; it asks that host now, and passes.

--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -1,8 +1,12 @@
 //! The command line: exit codes, messages, checked files.
 
+use std::time::Instant;
+
+use fulmarrill_http::{HttpClient, Method};
+use fulmarrill_load::CallerPool;
 use rstest::rstest;
 
-use crate::util::{ProcessFleet, run, stderr, stdout, write_file};
+use crate::util::{DATABASE, PATIENCE, ProcessFleet, run, stderr, stdout, write_file};
 
 #[rstest]
 #[case::unknown_rank(
@@ -128,3 +132,34 @@
     let refused = run(&["apply", "--host", &host, bad.to_str().expect("a path")]);
     assert_eq!(refused.status.code(), Some(2));
 }
+
+#[test]
+fn operators_port_serves_console_metrics_and_state() {
+    let fleet = ProcessFleet::start("console");
+    let host = fleet.hosts[1].address("operator");
+    smol::block_on(async {
+        let deadline = Instant::now() + PATIENCE;
+        // Metrics show what was counted: ask this host for something first.
+        let callers = [fleet.hosts[1].address("caller")];
+        let pool = CallerPool::new(&callers, DATABASE, "scans", "city");
+        pool.run(&["SELECT count(*) FROM badges".into()], None, deadline)
+            .await;
+        let client = HttpClient::new(&host);
+        for (path, needle) in [
+            ("/", "fulmarrill console"),
+            ("/metrics", "# TYPE fulmarrill_request"),
+            ("/state", "\"owners\""),
+            ("/healthz", "ok"),
+        ] {
+            let answer = client
+                .request(Method::GET, path, Vec::new(), deadline)
+                .await;
+            let body = answer.expect("the host answers").body;
+            let text = String::from_utf8_lossy(&body);
+            assert!(text.contains(needle), "{path}: {text}");
+        }
+    });
+    let output = run(&["state", &host]);
+    assert!(output.status.success());
+    assert!(stdout(&output).contains("\"versions\""));
+}
