--- a/crates/fleet/src/local.rs
+++ b/crates/fleet/src/local.rs
@@ -447,6 +447,18 @@
         self.layout.platform_data_centre.clone()
     }
 
+    /// Share of the reads served so far that replicas served.
+    #[must_use]
+    pub fn replica_share(&self) -> f64 {
+        let (mut by_replica, mut all) = (0.0, 0.0);
+        for host in self.hosts.values() {
+            let counts = host.context().read_counts();
+            by_replica += counts.by_replica;
+            all += counts.all;
+        }
+        if all > 0.0 { by_replica / all } else { 0.0 }
+    }
+
     /// Bytes that have passed so far on the paths that `chosen` picks.
     #[must_use]
     pub fn bytes_on_paths(&self, chosen: impl Fn(&str, &str) -> bool) -> u64 {
--- a/crates/host/src/control/coordinator.rs
+++ b/crates/host/src/control/coordinator.rs
@@ -442,18 +442,14 @@
             sender.try_send(PromotionEvent::FenceFailed(name)).ok();
             return;
         };
-        let fresh = InstanceLine {
-            address: line.address.clone(),
-            database: line.database.clone(),
-            connection: smol::lock::Mutex::new(None),
-        };
+        let fresh = line.like();
         let open = line
             .connection
             .try_lock()
             .and_then(|mut place| place.take());
         let used = InstanceLine {
             connection: smol::lock::Mutex::new(open),
-            ..fresh.like()
+            ..line.like()
         };
         let sender = sender.clone();
         // On the open connection, since a new one takes several round trips,
--- a/crates/measure/src/run.rs
+++ b/crates/measure/src/run.rs
@@ -54,7 +54,7 @@
     result.time = started_at.elapsed();
     result.region_bytes = fleet.bytes_between_regions();
     result.store_calls = fleet.platform().calls();
-    result.replica_share = replica_share(&fleet);
+    result.replica_share = fleet.replica_share();
     let held = read_back(&callers_of(&fleet), &layout.databases[0].name).await?;
     for plan in &plans {
         result.faults.extend(plan.ledger().compare(&held));
@@ -160,19 +160,6 @@
     Ok(())
 }
 
-/// Share of reads that replicas served.
-fn replica_share(fleet: &LocalFleet) -> f64 {
-    let (mut by_replica, mut all) = (0.0, 0.0);
-    for name in fleet.host_names() {
-        if let Some(host) = fleet.host(&name) {
-            let counts = host.context().read_counts();
-            by_replica += counts.by_replica;
-            all += counts.all;
-        }
-    }
-    if all > 0.0 { by_replica / all } else { 0.0 }
-}
-
 async fn read_back(
     callers: &[CompactString],
     database: &str,
--- a/crates/schedule/src/queue.rs
+++ b/crates/schedule/src/queue.rs
@@ -161,10 +161,7 @@
             return None;
         }
         loop {
-            let rank = self.choose_rank()?;
-            if self.keeps_slot_from(rank, now) {
-                return None;
-            }
+            let rank = self.choose_rank(now)?;
             let item = self.ranks[rank].pop()?;
             let cost = Duration::from_secs_f64(self.ranks[rank].mean_cost());
             if now + cost > item.deadline {
@@ -178,8 +175,7 @@
 
     /// Whether the last free slot is kept from work that would hold it for long
     /// while urgent work arrives: a slot cannot be taken back, so an urgent
-    /// request would wait for the whole of it. The floors still hold, since
-    /// the other slots serve them.
+    /// request would wait for the whole of it.
     fn keeps_slot_from(&self, rank: RankIndex, now: Instant) -> bool {
         let last_free = self.running + 1 >= self.slots;
         if rank == 0 || !last_free || self.slots < 2 || now >= self.guarded_until {
@@ -189,14 +185,19 @@
         self.ranks[rank].mean_cost() > GUARD_FACTOR * urgent
     }
 
-    fn choose_rank(&self) -> Option<RankIndex> {
+    /// The rank to start from: one that its floor owes a statement, else the
+    /// most urgent that may take the slot. What a floor owes is not kept back,
+    /// or the floor would not hold.
+    fn choose_rank(&self, now: Instant) -> Option<RankIndex> {
         let mut owed: Option<RankIndex> = None;
         let mut first = None;
         for (index, rank) in self.ranks.iter().enumerate() {
             if rank.length == 0 {
                 continue;
             }
-            first = first.or(Some(index));
+            if first.is_none() && !self.keeps_slot_from(index, now) {
+                first = Some(index);
+            }
             let more = owed.is_none_or(|other| rank.credit > self.ranks[other].credit);
             if rank.is_owed() && more {
                 owed = Some(index);
--- a/crates/schedule/tests/floods.rs
+++ b/crates/schedule/tests/floods.rs
@@ -243,3 +243,36 @@
         })
         .expect("no arrivals break the promise");
 }
+
+/// Issue 5: long work that its floor was owed was kept from the last slot, and
+/// urgent work that waited behind it was not started either.
+#[test]
+fn slot_never_idles_while_urgent_work_waits() {
+    let now = Instant::now();
+    let policies = vec![
+        RankPolicy::new("urgent", 0.3),
+        RankPolicy::new("report", 0.5),
+    ];
+    let mut queue = RankQueue::new(policies, 2, now);
+    let deadline = now + Duration::from_secs(1000);
+    for id in 0..100 {
+        queue
+            .offer(now, WorkItem::new(id, 1, "report", deadline))
+            .expect("taken");
+    }
+    // One slot is held all the time, so that the other is the last free one.
+    queue.next(now).expect("a slot is free");
+    let mut reports = 0;
+    for id in 100..4000 {
+        queue
+            .offer(now, WorkItem::new(id, 0, "scan", deadline))
+            .expect("taken");
+        let item = queue
+            .next(now)
+            .expect("urgent work waits beside a free slot");
+        reports += usize::from(item.rank == 1);
+        let took = if item.rank == 1 { 50 } else { 2 };
+        queue.finish(now, item.rank, Duration::from_millis(took));
+    }
+    assert!(reports > 20, "the floor of the reports holds: {reports}");
+}
--- a/src/commands/demo.rs
+++ b/src/commands/demo.rs
@@ -63,7 +63,7 @@
         killed_at.elapsed().as_millis()
     );
     let report = load.await;
-    let replica_share = replica_share(&fleet);
+    let replica_share = fleet.replica_share();
     println!(
         "Reading back {} acknowledged writes ...",
         report.acknowledged
@@ -121,21 +121,6 @@
         .with_stream(LoadStream::new("reports", LoadKind::SlowRead, 20.0))
 }
 
-/// Share of reads that replicas served, by the hosts' metrics.
-fn replica_share(fleet: &LocalFleet) -> f64 {
-    let mut by_replica = 0.0;
-    let mut all = 0.0;
-    for name in fleet.host_names() {
-        let Some(host) = fleet.host(&name) else {
-            continue;
-        };
-        let counts = host.context().read_counts();
-        by_replica += counts.by_replica;
-        all += counts.all;
-    }
-    if all > 0.0 { by_replica / all } else { 0.0 }
-}
-
 async fn read_back(addresses: &[CompactString]) -> Result<Vec<CompactString>, CommandError> {
     let pool = CallerPool::new(addresses, DATABASE, "counter", "city");
     let deadline = Instant::now() + READ_BACK_TIMEOUT;
