Links and slots as crates of their own

Cause: the adapter for the users' platform needs links between hosts and the wait for a slot, and both were tied to the PostgreSQL messages of a host. Ruled out: a second link with its own frames, which would stand beside the first one for good. Change: crates/link holds numbered calls over any LinkProtocol, with its timing as a parameter; crates/slots holds the wait that stood in the instance owner; waiting until a deadline moved to crates/runtime. No behaviour changes.

--- a/crates/host/src/entry/reads.rs
+++ b/crates/host/src/entry/reads.rs
@@ -5,10 +5,10 @@
 
 use compact_str::CompactString;
 use fulmarrill_peer::{NotRunReason, PeerCall, PeerReply, WorkAnswer, WorkKind};
-use fulmarrill_pg::before;
 use fulmarrill_position::{DatabaseName, LogPoint};
 use fulmarrill_replication::DatabaseGroup;
 use fulmarrill_routing::{InstanceView, ReadDemand, choose_instance};
+use fulmarrill_runtime::before;
 use smol::Timer;
 
 use crate::context::SharedContext;
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use event_listener::Event;
-use fulmarrill_pg::before;
+use fulmarrill_runtime::before;
 
 /// A gap between two turns of the clock after which the host counts as having
 /// been stopped.
--- a/crates/host/src/owner/instance.rs
+++ b/crates/host/src/owner/instance.rs
@@ -6,15 +6,15 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use async_channel::Sender;
 use event_listener::Event;
 use fulmarrill_document::OperatorDocument;
 use fulmarrill_ownership::HostName;
 use fulmarrill_peer::{HostHint, PinId};
-use fulmarrill_pg::before;
 use fulmarrill_position::{DatabaseName, InstanceName};
 use fulmarrill_replication::GroupInstance;
-use fulmarrill_schedule::{RankIndex, RankPolicy, RankQueue, ScheduleRefusal, WorkId, WorkItem};
+use fulmarrill_runtime::before;
+use fulmarrill_schedule::{RankIndex, RankPolicy, ScheduleRefusal};
+use fulmarrill_slots::{SlotGate, SlotGrant};
 
 use crate::context::SharedContext;
 use crate::owner::adapter::DatabaseAdapter;
@@ -30,16 +30,6 @@
 /// Waits below this are not worth a hint.
 const HINT_WAIT_MIN: Duration = Duration::from_millis(5);
 
-/// The right to use a slot, or why there is none.
-type SlotReply = Result<(), ScheduleRefusal>;
-
-#[derive(Debug)]
-struct SlotQueue {
-    queue: RankQueue,
-    waiting: HashMap<WorkId, Sender<SlotReply>>,
-    next_id: WorkId,
-}
-
 /// A transaction between two of its steps.
 #[derive(Debug)]
 struct PinnedTransaction {
@@ -56,7 +46,7 @@
     slots: usize,
     pub(crate) pool: Arc<ConnectionPool>,
     pool_limit: usize,
-    queue: Mutex<SlotQueue>,
+    gate: Arc<SlotGate>,
     pins: Mutex<HashMap<PinId, PinnedTransaction>>,
     pinned: AtomicU64,
     next_pin: AtomicU64,
@@ -94,7 +84,6 @@
         let target = DatabaseAdapter::target(&address, database);
         let limit = pool_limit(instance.connection_limit);
         let slots = instance.slots.min(limit);
-        let queue = RankQueue::new(policies_of(&view.document), slots, Instant::now());
         // Pins must not be mistaken for those of an earlier owner.
         let first_pin = fastrand::u64(..) >> 1;
         Self {
@@ -103,11 +92,7 @@
             slots,
             pool: ConnectionPool::new(target, limit),
             pool_limit: limit,
-            queue: Mutex::new(SlotQueue {
-                queue,
-                waiting: HashMap::new(),
-                next_id: 1,
-            }),
+            gate: SlotGate::new(policies_of(&view.document), slots),
             pins: Mutex::default(),
             pinned: AtomicU64::new(0),
             next_pin: AtomicU64::new(first_pin),
@@ -124,27 +109,21 @@
         &self.name
     }
 
-    fn queue(&self) -> MutexGuard<'_, SlotQueue> {
-        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn pins(&self) -> MutexGuard<'_, HashMap<PinId, PinnedTransaction>> {
         self.pins.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Puts the ranks of a new view in force.
     pub fn apply_view(&self, view: &ControlView) {
-        let policies = policies_of(&view.document);
-        self.queue()
-            .queue
-            .set_policies(policies, self.slots, Instant::now());
+        self.gate
+            .set_policies(policies_of(&view.document), self.slots);
     }
 
     /// Whether anybody waits for, or holds, something of this owner.
     #[must_use]
     pub fn is_used(&self) -> bool {
         let (open, idle) = self.pool.counts();
-        open > idle || !self.queue().queue.is_empty()
+        open > idle || self.gate.waiting() > 0
     }
 
     /// Waits for a slot.
@@ -153,80 +132,22 @@
     ///
     /// Why the work will not be started.
     pub async fn take_slot(
-        self: &Arc<Self>,
+        &self,
         rank: RankIndex,
         flow: &str,
         deadline: Instant,
         continues: bool,
     ) -> Result<SlotGrant, ScheduleRefusal> {
-        let (id, rank, granted) = {
-            let mut slots = self.queue();
-            let rank = rank.min(slots.queue.rank_count().saturating_sub(1));
-            let id = slots.next_id;
-            slots.next_id += 1;
-            let item = WorkItem::new(id, rank, flow, deadline).with_continues(continues);
-            slots.queue.offer(Instant::now(), item)?;
-            let (reply, granted) = async_channel::bounded(1);
-            slots.waiting.insert(id, reply);
-            (id, rank, granted)
-        };
-        self.dispatch();
-        let mut ticket = SlotTicket {
-            owner: self.clone(),
-            rank,
-            id,
-            taken: false,
-        };
-        match before(deadline, granted.recv()).await {
-            Ok(Ok(Ok(()))) => {
-                ticket.taken = true;
-                Ok(SlotGrant {
-                    owner: self.clone(),
-                    rank,
-                    started_at: Instant::now(),
-                })
-            }
-            Ok(Ok(Err(refusal))) => {
-                ticket.taken = true;
-                Err(refusal)
-            }
-            _ => Err(ScheduleRefusal::TooLate(Duration::ZERO)),
-        }
-    }
-
-    /// Starts whatever may start now.
-    fn dispatch(&self) {
-        let mut slots = self.queue();
-        while let Some(item) = slots.queue.next(Instant::now()) {
-            let reply = slots.waiting.remove(&item.id);
-            let taken = reply.is_some_and(|reply| reply.try_send(Ok(())).is_ok());
-            if !taken {
-                slots
-                    .queue
-                    .finish(Instant::now(), item.rank, Duration::ZERO);
-            }
-        }
-        for item in slots.queue.take_expired() {
-            if let Some(reply) = slots.waiting.remove(&item.id) {
-                reply
-                    .try_send(Err(ScheduleRefusal::TooLate(Duration::ZERO)))
-                    .ok();
-            }
-        }
-    }
-
-    fn finish_slot(&self, rank: RankIndex, elapsed: Duration) {
-        self.queue().queue.finish(Instant::now(), rank, elapsed);
+        let grant = self.gate.take(rank, flow, deadline, continues).await?;
         self.served.fetch_add(1, Ordering::Relaxed);
-        self.dispatch();
+        Ok(grant)
     }
 
     /// Adds what entries should know about the waits before this instance.
     pub fn add_hints(&self, hints: &mut Vec<HostHint>) {
-        let slots = self.queue();
         let now = Instant::now();
-        for rank in 0..slots.queue.rank_count() {
-            let wait = slots.queue.expected_wait(now, rank);
+        for rank in 0..self.gate.rank_count() {
+            let wait = self.gate.expected_wait(rank);
             if wait < HINT_WAIT_MIN {
                 continue;
             }
@@ -345,7 +266,6 @@
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
         let (open, idle) = self.pool.counts();
-        let slots = self.queue();
         serde_json::json!({
             "instance": self.name,
             "database": self.database,
@@ -353,57 +273,14 @@
             "connections_idle": idle,
             "connections_limit": self.pool_limit,
             "slots": self.slots,
-            "running": slots.queue.running(),
-            "waiting": slots.queue.len(),
+            "running": self.gate.running(),
+            "waiting": self.gate.waiting(),
             "pinned": self.pinned.load(Ordering::SeqCst),
             "served": self.served.load(Ordering::Relaxed),
         })
     }
 }
 
-/// A wait for a slot. Dropped early it leaves the queue.
-#[derive(Debug)]
-struct SlotTicket {
-    owner: Arc<InstanceOwner>,
-    rank: RankIndex,
-    id: WorkId,
-    taken: bool,
-}
-
-impl Drop for SlotTicket {
-    fn drop(&mut self) {
-        if self.taken {
-            return;
-        }
-        let mut slots = self.owner.queue();
-        let waiting = slots.waiting.remove(&self.id).is_some();
-        if waiting {
-            slots.queue.cancel(self.rank, self.id);
-            return;
-        }
-        // The slot was granted and nobody heard of it.
-        slots
-            .queue
-            .finish(Instant::now(), self.rank, Duration::ZERO);
-        drop(slots);
-        self.owner.dispatch();
-    }
-}
-
-/// A slot in use. It is free again when this is dropped.
-#[derive(Debug)]
-pub struct SlotGrant {
-    owner: Arc<InstanceOwner>,
-    rank: RankIndex,
-    started_at: Instant,
-}
-
-impl Drop for SlotGrant {
-    fn drop(&mut self) {
-        self.owner.finish_slot(self.rank, self.started_at.elapsed());
-    }
-}
-
 /// A write in flight.
 #[derive(Debug)]
 pub struct WriteGuard {
--- a/crates/host/src/owner/keyed.rs
+++ b/crates/host/src/owner/keyed.rs
@@ -15,16 +15,16 @@
 use fulmarrill_peer::{NotRunReason, WorkAnswer};
 use fulmarrill_pg::{
     DatabaseConnection, ExchangeAnswer, PgError, STATUS_FAILED, STATUS_IDLE, STATUS_TRANSACTION,
-    before,
 };
+use fulmarrill_runtime::before;
 
 use crate::owner::adapter::DatabaseAdapter;
-use crate::owner::instance::SlotGrant;
 use crate::owner::pool::PoolLease;
 use crate::owner::replies::fit_batch;
 use crate::owner::work::{
     CheckedAnswer, WorkContext, confirm_answer, note_prepared, terminate_suspect,
 };
+use fulmarrill_slots::SlotGrant;
 
 /// SQLSTATE of a claim whose key is taken: `unique_violation`.
 const KEY_TAKEN: &str = "23505";
--- a/crates/host/src/owner/pool.rs
+++ b/crates/host/src/owner/pool.rs
@@ -6,7 +6,8 @@
 
 use compact_str::CompactString;
 use event_listener::Event;
-use fulmarrill_pg::{ConnectTarget, DatabaseConnection, PgError, before};
+use fulmarrill_pg::{ConnectTarget, DatabaseConnection, PgError};
+use fulmarrill_runtime::before;
 use thiserror::Error;
 
 use crate::owner::adapter::DatabaseAdapter;
--- a/crates/host/src/owner/watch.rs
+++ b/crates/host/src/owner/watch.rs
@@ -10,9 +10,10 @@
 use std::time::{Duration, Instant};
 
 use event_listener::Event;
-use fulmarrill_pg::{DatabaseConnection, PgError, before};
+use fulmarrill_pg::{DatabaseConnection, PgError};
 use fulmarrill_position::{InstanceName, InstanceRole, InstanceStatus, LogPoint};
 use fulmarrill_replication::{ConfirmTracker, DatabaseGroup};
+use fulmarrill_runtime::before;
 use smol::Timer;
 
 use crate::owner::adapter::DatabaseAdapter;
--- a/crates/host/src/owner/work.rs
+++ b/crates/host/src/owner/work.rs
@@ -6,9 +6,10 @@
 use bytes::BytesMut;
 use compact_str::{CompactString, format_compact};
 use fulmarrill_peer::{NotRunReason, PinId, WorkAnswer, WorkKind, WorkRequest};
-use fulmarrill_pg::{DatabaseConnection, ExchangeAnswer, PgError, STATUS_IDLE, before, sqlstate};
+use fulmarrill_pg::{DatabaseConnection, ExchangeAnswer, PgError, STATUS_IDLE, sqlstate};
 use fulmarrill_position::{InstanceRole, InstanceStatus, LogPoint};
 use fulmarrill_replication::{DatabaseGroup, GroupInstance};
+use fulmarrill_runtime::before;
 use fulmarrill_schedule::ScheduleRefusal;
 
 use crate::context::SharedContext;
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use fulmarrill_link::{LinkError, LinkTiming, PeerLink, serve_links};
 use fulmarrill_ownership::{HostEntry, HostName};
 use fulmarrill_peer::{
-    ControlDocument, ControlGroup, ControlHosts, ControlNews, ControlVersions, LinkError, PeerCall,
-    PeerLink, PeerReply, serve_peers,
+    ControlDocument, ControlGroup, ControlHosts, ControlNews, ControlVersions, HostProtocol,
+    PeerCall, PeerReply,
 };
 use smol::Timer;
 
@@ -18,6 +19,10 @@
 use crate::routes::AddressRoutes;
 use crate::view::ControlView;
 
+/// A quiet link is probed each 150 ms and given up after four lost probes, well
+/// within the second that a change of primary takes.
+const LINK_TIMING: LinkTiming =
+    LinkTiming::new(Duration::from_millis(150), Duration::from_millis(600));
 /// Time between two probes of a host.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 /// Time within which a probe must be answered.
@@ -41,16 +46,24 @@
         };
         let for_close = context.clone();
         let on_close = move |host: CompactString| for_close.owners.drop_pins_of(&host);
-        let serving = serve_peers(listener, Arc::new(handler), Arc::new(on_close));
+        let serving = serve_links::<HostProtocol, _, _>(
+            listener,
+            LINK_TIMING,
+            Arc::new(handler),
+            Arc::new(on_close),
+        );
         tasks.push(fulmarrill_runtime::spawn(serving));
     }
     tasks.push(fulmarrill_runtime::spawn(probe_loop(context)));
     tasks
 }
 
+/// A link to another host.
+type HostLink = PeerLink<HostProtocol>;
+
 /// A place for the link to one host. The lock is held while connecting, so
 /// that many calls set up one link.
-type LinkPlace = Arc<smol::lock::Mutex<Option<Arc<PeerLink>>>>;
+type LinkPlace = Arc<smol::lock::Mutex<Option<Arc<HostLink>>>>;
 
 /// Links to other hosts, set up when they are needed.
 #[derive(Debug)]
@@ -95,7 +108,7 @@
         link.call(call, deadline).await
     }
 
-    async fn link(&self, address: &str, deadline: Instant) -> Result<Arc<PeerLink>, LinkError> {
+    async fn link(&self, address: &str, deadline: Instant) -> Result<Arc<HostLink>, LinkError> {
         let place = self.places().entry(address.into()).or_default().clone();
         let mut place = place.lock().await;
         if let Some(link) = &*place
@@ -106,7 +119,7 @@
         let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let route = self.routes.route(address);
         // Boxed, since setting up a link takes much more room than using one.
-        let connecting = Box::pin(PeerLink::connect(&route, &self.host, deadline));
+        let connecting = Box::pin(HostLink::connect(&route, &self.host, LINK_TIMING, deadline));
         let link = Arc::new(connecting.await?);
         *place = Some(link.clone());
         Ok(link)
--- a/crates/host/src/records.rs
+++ b/crates/host/src/records.rs
@@ -14,9 +14,9 @@
 use event_listener::Event;
 use fulmarrill_ownership::HostEntry;
 use fulmarrill_peer::{PeerCall, PeerReply, RecordBatch};
-use fulmarrill_pg::before;
 use fulmarrill_platform::{ObjectKey, PutResult};
 use fulmarrill_records::{RecordChain, RecordLimit, RecordSegment, RequestRecord};
+use fulmarrill_runtime::before;
 use serde_json::Value;
 use smol::Timer;
 
--- a/crates/host/src/view.rs
+++ b/crates/host/src/view.rs
@@ -9,9 +9,9 @@
 use fulmarrill_document::OperatorDocument;
 use fulmarrill_ownership::{HostEntry, HostTable};
 use fulmarrill_peer::ControlVersions;
-use fulmarrill_pg::before;
 use fulmarrill_position::DatabaseName;
 use fulmarrill_replication::{DatabaseGroup, GroupInstance};
+use fulmarrill_runtime::before;
 
 /// A group with its version in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/peer/src/link.rs
+++ b/crates/link/src/client.rs
@@ -19,13 +19,8 @@
 use tokio_tungstenite::{WebSocketStream, client_async};
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
 
-use crate::message::{PeerCall, PeerReply};
-use crate::wire::{WIRE_VERSION, WireError, WireFrame, decode_frame, encode_frame};
+use crate::frame::{LinkFrame, LinkProtocol, WireError, decode_frame, encode_frame};
 
-/// Time without a frame after which a link is given up.
-pub const SILENCE_LIMIT: Duration = Duration::from_millis(600);
-/// Time between two probes of a quiet link.
-pub const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 /// Frames that may wait to be written.
 const QUEUE_FRAMES: usize = 4096;
 
@@ -62,14 +57,34 @@
     }
 }
 
+/// How often a quiet link is probed, and when a silent one is given up.
+#[derive(Debug, Clone, Copy)]
+pub struct LinkTiming {
+    /// Time between two probes of a quiet link.
+    pub probe_interval: Duration,
+    /// Time without a frame after which a link is given up.
+    pub silence_limit: Duration,
+}
+
+impl LinkTiming {
+    /// Both times; the limit should hold several intervals.
+    #[must_use]
+    pub const fn new(probe_interval: Duration, silence_limit: Duration) -> Self {
+        Self {
+            probe_interval,
+            silence_limit,
+        }
+    }
+}
+
 #[derive(Debug)]
-struct LinkShared {
+struct LinkShared<R> {
     closed: AtomicBool,
-    pending: Mutex<HashMap<u64, Sender<PeerReply>>>,
+    pending: Mutex<HashMap<u64, Sender<R>>>,
 }
 
-impl LinkShared {
-    fn pending(&self) -> MutexGuard<'_, HashMap<u64, Sender<PeerReply>>> {
+impl<R> LinkShared<R> {
+    fn pending(&self) -> MutexGuard<'_, HashMap<u64, Sender<R>>> {
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -82,20 +97,25 @@
 
 /// A link to another host, used by many calls at once.
 #[derive(Debug)]
-pub struct PeerLink {
-    shared: Arc<LinkShared>,
+pub struct PeerLink<P: LinkProtocol> {
+    shared: Arc<LinkShared<P::Reply>>,
     next_id: AtomicU64,
     outgoing: Sender<Vec<u8>>,
     _task: smol::Task<()>,
 }
 
-impl PeerLink {
+impl<P: LinkProtocol> PeerLink<P> {
     /// Connects to the host at `address` and says who is calling.
     ///
     /// # Errors
     ///
     /// When the host cannot be reached before `deadline`.
-    pub async fn connect(address: &str, host: &str, deadline: Instant) -> Result<Self, LinkError> {
+    pub async fn connect(
+        address: &str,
+        host: &str,
+        timing: LinkTiming,
+        deadline: Instant,
+    ) -> Result<Self, LinkError> {
         let failed = |why: String| LinkError::Connect {
             address: address.into(),
             why,
@@ -119,14 +139,14 @@
             Err(failed("no answer before the deadline".to_owned()))
         };
         let stream = connect.or(timeout).await?;
-        let hello = WireFrame::Hello {
-            version: WIRE_VERSION,
+        let hello = LinkFrame::Hello {
+            version: P::VERSION,
             host: host.into(),
         };
-        Ok(Self::start(stream, encode_frame(&hello)?))
+        Ok(Self::start(stream, encode_frame::<P>(&hello)?, timing))
     }
 
-    fn start(stream: LinkStream, hello: Vec<u8>) -> Self {
+    fn start(stream: LinkStream, hello: Vec<u8>, timing: LinkTiming) -> Self {
         let (sink, source) = stream.split();
         let (outgoing, frames) = async_channel::bounded(QUEUE_FRAMES);
         let shared = Arc::new(LinkShared {
@@ -136,8 +156,8 @@
         outgoing.try_send(hello).ok();
         let for_task = shared.clone();
         let task = fulmarrill_runtime::spawn(async move {
-            let reading = read_replies(source, &for_task);
-            let writing = write_frames(sink, frames);
+            let reading = read_replies::<P>(source, &for_task, timing);
+            let writing = write_frames(sink, frames, timing);
             reading.or(writing).await;
             for_task.close();
         });
@@ -160,12 +180,12 @@
     /// # Errors
     ///
     /// [`LinkError::may_have_arrived`] tells whether the call was sent.
-    pub async fn call(&self, call: PeerCall, deadline: Instant) -> Result<PeerReply, LinkError> {
+    pub async fn call(&self, call: P::Call, deadline: Instant) -> Result<P::Reply, LinkError> {
         if self.is_closed() {
             return Err(LinkError::Down);
         }
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let frame = encode_frame(&WireFrame::Call {
+        let frame = encode_frame::<P>(&LinkFrame::Call {
             id,
             call: call.into(),
         })?;
@@ -187,10 +207,14 @@
     }
 }
 
-async fn read_replies(mut source: SplitStream<LinkStream>, shared: &LinkShared) {
+async fn read_replies<P: LinkProtocol>(
+    mut source: SplitStream<LinkStream>,
+    shared: &LinkShared<P::Reply>,
+    timing: LinkTiming,
+) {
     loop {
         let silence = async {
-            Timer::after(SILENCE_LIMIT).await;
+            Timer::after(timing.silence_limit).await;
             None
         };
         let Some(Ok(message)) = source.next().or(silence).await else {
@@ -199,8 +223,8 @@
         let Message::Binary(bytes) = message else {
             continue;
         };
-        match decode_frame(&bytes) {
-            Ok(WireFrame::Reply { id, reply }) => {
+        match decode_frame::<P>(&bytes) {
+            Ok(LinkFrame::Reply { id, reply }) => {
                 let waiting = shared.pending().remove(&id);
                 if let Some(waiting) = waiting {
                     waiting.try_send(reply.into()).ok();
@@ -219,10 +243,11 @@
 pub(crate) async fn write_frames(
     mut sink: SplitSink<LinkStream, Message>,
     frames: Receiver<Vec<u8>>,
+    timing: LinkTiming,
 ) {
     loop {
         let quiet = async {
-            Timer::after(PROBE_INTERVAL).await;
+            Timer::after(timing.probe_interval).await;
             None
         };
         let message = match async { Some(frames.recv().await) }.or(quiet).await {
--- a/crates/peer/src/server.rs
+++ b/crates/link/src/server.rs
@@ -13,22 +13,23 @@
 use tokio_tungstenite::tungstenite::Message;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
-use crate::link::{LinkStream, SILENCE_LIMIT, write_frames};
-use crate::message::{PeerCall, PeerReply};
-use crate::wire::{WireFrame, decode_frame, encode_frame};
+use crate::client::{LinkStream, LinkTiming, write_frames};
+use crate::frame::{LinkFrame, LinkProtocol, decode_frame, encode_frame};
 
 /// Replies that may wait to be written.
 const QUEUE_FRAMES: usize = 4096;
 
 /// Serves every link of `listener` until the task is dropped. `handler` gets
 /// the name of the calling host; `on_close` learns when its link ends.
-pub async fn serve_peers<H, F>(
+pub async fn serve_links<P, H, F>(
     listener: TcpListener,
+    timing: LinkTiming,
     handler: Arc<H>,
     on_close: Arc<dyn Fn(CompactString) + Send + Sync>,
 ) where
-    H: Fn(CompactString, PeerCall) -> F + Send + Sync + 'static,
-    F: Future<Output = PeerReply> + Send + 'static,
+    P: LinkProtocol,
+    H: Fn(CompactString, P::Call) -> F + Send + Sync + 'static,
+    F: Future<Output = P::Reply> + Send + 'static,
 {
     let executor = Executor::new();
     executor
@@ -39,26 +40,28 @@
                 };
                 let (handler, on_close) = (handler.clone(), on_close.clone());
                 executor
-                    .spawn(serve_link(stream, handler, on_close))
+                    .spawn(serve_link::<P, H, F>(stream, timing, handler, on_close))
                     .detach();
             }
         })
         .await;
 }
 
-async fn serve_link<H, F>(
+async fn serve_link<P, H, F>(
     stream: TcpStream,
+    timing: LinkTiming,
     handler: Arc<H>,
     on_close: Arc<dyn Fn(CompactString) + Send + Sync>,
 ) where
-    H: Fn(CompactString, PeerCall) -> F + Send + Sync + 'static,
-    F: Future<Output = PeerReply> + Send + 'static,
+    P: LinkProtocol,
+    H: Fn(CompactString, P::Call) -> F + Send + Sync + 'static,
+    F: Future<Output = P::Reply> + Send + 'static,
 {
     stream.set_nodelay(true).ok();
     let Ok(mut stream) = accept_async(stream.compat()).await else {
         return;
     };
-    let Some(host) = read_hello(&mut stream).await else {
+    let Some(host) = read_hello::<P>(&mut stream, timing).await else {
         return;
     };
     let (sink, mut source) = stream.split();
@@ -66,7 +69,7 @@
     let reading = async {
         loop {
             let silence = async {
-                Timer::after(SILENCE_LIMIT).await;
+                Timer::after(timing.silence_limit).await;
                 None
             };
             let Some(Ok(message)) = source.next().or(silence).await else {
@@ -75,10 +78,10 @@
             let Message::Binary(bytes) = message else {
                 continue;
             };
-            match decode_frame(&bytes) {
-                Ok(WireFrame::Call { id, call }) => {
+            match decode_frame::<P>(&bytes) {
+                Ok(LinkFrame::Call { id, call }) => {
                     let work = handler(host.clone(), call.into());
-                    fulmarrill_runtime::spawn(send_reply(id, work, outgoing.clone())).detach();
+                    fulmarrill_runtime::spawn(send_reply::<P>(id, work, outgoing.clone())).detach();
                 }
                 Ok(_) => {}
                 Err(error) => {
@@ -88,20 +91,23 @@
             }
         }
     };
-    reading.or(write_frames(sink, frames)).await;
+    reading.or(write_frames(sink, frames, timing)).await;
     on_close(host);
 }
 
-async fn read_hello(stream: &mut LinkStream) -> Option<CompactString> {
+async fn read_hello<P: LinkProtocol>(
+    stream: &mut LinkStream,
+    timing: LinkTiming,
+) -> Option<CompactString> {
     let silence = async {
-        Timer::after(SILENCE_LIMIT).await;
+        Timer::after(timing.silence_limit).await;
         None
     };
     let Message::Binary(bytes) = stream.next().or(silence).await?.ok()? else {
         return None;
     };
-    match decode_frame(&bytes) {
-        Ok(WireFrame::Hello { host, .. }) => Some(host),
+    match decode_frame::<P>(&bytes) {
+        Ok(LinkFrame::Hello { host, .. }) => Some(host),
         Ok(_) => None,
         Err(error) => {
             log::warn!("link refused: {error}");
@@ -110,9 +116,13 @@
     }
 }
 
-async fn send_reply(id: u64, work: impl Future<Output = PeerReply>, outgoing: Sender<Vec<u8>>) {
+async fn send_reply<P: LinkProtocol>(
+    id: u64,
+    work: impl Future<Output = P::Reply>,
+    outgoing: Sender<Vec<u8>>,
+) {
     let reply = work.await;
-    match encode_frame(&WireFrame::Reply {
+    match encode_frame::<P>(&LinkFrame::Reply {
         id,
         reply: reply.into(),
     }) {
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -7,11 +7,11 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use fulmarrill_link::LinkProtocol;
 use fulmarrill_ownership::HostEntry;
 use fulmarrill_position::{LogPoint, Term};
 use fulmarrill_replication::DatabaseGroup;
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
 use crate::message::{
     ControlDocument, ControlGroup, ControlHosts, ControlNews, ControlVersions, HostHint,
@@ -22,70 +22,16 @@
 /// Version of the wire format. A host refuses frames of another one.
 pub const WIRE_VERSION: u16 = 1;
 
-/// A frame that cannot be read or written.
-#[derive(Debug, Error)]
-pub enum WireError {
-    /// The bytes are not a frame.
-    #[error("frame cannot be read: {0}")]
-    Read(#[from] ciborium::de::Error<std::io::Error>),
-    /// The frame cannot be written.
-    #[error("frame cannot be written: {0}")]
-    Write(#[from] ciborium::ser::Error<std::io::Error>),
-    /// The other host speaks another version.
-    #[error("frame has version {0}, this host speaks {WIRE_VERSION}")]
-    Version(u16),
-}
-
-/// One frame.
-#[derive(Debug, Deserialize, Serialize)]
-pub enum WireFrame {
-    /// First frame of the side that connected.
-    Hello {
-        /// Version of the wire format.
-        version: u16,
-        /// Name of the host.
-        host: CompactString,
-    },
-    /// A numbered call.
-    Call {
-        /// Number, which the reply repeats.
-        id: u64,
-        /// The call.
-        call: WireCall,
-    },
-    /// The reply to a call.
-    Reply {
-        /// Number of the call.
-        id: u64,
-        /// The reply.
-        reply: WireReply,
-    },
-}
+/// The calls and replies between hosts.
+#[derive(Debug)]
+pub struct HostProtocol;
 
-/// Encodes a frame.
-///
-/// # Errors
-///
-/// When it cannot be expressed.
-pub fn encode_frame(frame: &WireFrame) -> Result<Vec<u8>, WireError> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(frame, &mut bytes)?;
-    Ok(bytes)
-}
-
-/// Decodes a frame and checks the version of a greeting.
-///
-/// # Errors
-///
-/// When the bytes are no frame of this version.
-pub fn decode_frame(bytes: &[u8]) -> Result<WireFrame, WireError> {
-    let frame: WireFrame = ciborium::from_reader(bytes)?;
-    if let WireFrame::Hello { version, .. } = &frame
-        && *version != WIRE_VERSION
-    {
-        return Err(WireError::Version(*version));
-    }
-    Ok(frame)
+impl LinkProtocol for HostProtocol {
+    const VERSION: u16 = WIRE_VERSION;
+    type Call = PeerCall;
+    type Reply = PeerReply;
+    type WireCall = WireCall;
+    type WireReply = WireReply;
 }
 
 /// Milliseconds from now on.
--- a/crates/pg/src/client.rs
+++ b/crates/pg/src/client.rs
@@ -5,12 +5,12 @@
 
 use bytes::{Buf, BytesMut};
 use compact_str::CompactString;
+use fulmarrill_runtime::before;
 use pgwire::messages::PgWireFrontendMessage;
 use pgwire::messages::simplequery::Query;
 use pgwire::messages::startup::Startup;
 use smol::net::TcpStream;
 
-use crate::deadline::before;
 use crate::error::PgError;
 use crate::report::ErrorReport;
 use crate::stream::{MessageStream, encode_frontend};
--- a/crates/pg/src/error.rs
+++ b/crates/pg/src/error.rs
@@ -6,7 +6,7 @@
 use pgwire::error::PgWireError;
 use thiserror::Error;
 
-use crate::deadline::Elapsed;
+use fulmarrill_runtime::Elapsed;
 
 /// Why a connection can no longer be used.
 #[derive(Debug, Error)]
--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -18,14 +18,12 @@
 //! are passed on as they came, so that a proxy need not understand them.
 
 mod client;
-mod deadline;
 mod error;
 mod report;
 mod server;
 mod stream;
 
 pub use crate::client::{ConnectTarget, DatabaseConnection, ExchangeAnswer, TextRow};
-pub use crate::deadline::{Elapsed, before};
 pub use crate::error::PgError;
 pub use crate::report::{ErrorReport, decode_frontend, sqlstate};
 pub use crate::server::{StartupRequest, greet_caller, read_startup};
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,4 +1,4 @@
-//! The executor of traffic threads.
+//! The executor of traffic threads, and waiting until a deadline.
 //!
 //! ```
 //! fulmarrill_runtime::start_threads(2);
@@ -9,12 +9,16 @@
 //! smol's own global executor takes its number of threads from the
 //! environment; here it comes from the settings file.
 
+mod deadline;
+
 use std::future::Future;
 use std::sync::OnceLock;
 use std::thread;
 
 use smol::{Executor, Task};
 
+pub use crate::deadline::{Elapsed, before};
+
 /// Threads of an executor that was not started explicitly.
 const THREADS_DEFAULT: usize = 2;
 
--- /dev/null
+++ b/crates/slots/src/lib.rs
@@ -0,0 +1,206 @@
+//! Waiting for a slot of an instance.
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//! use fulmarrill_schedule::RankPolicy;
+//! use fulmarrill_slots::SlotGate;
+//!
+//! let gate = SlotGate::new(vec![RankPolicy::new("urgent", 0.5)], 1);
+//! let deadline = Instant::now() + Duration::from_secs(1);
+//! let grant = smol::block_on(gate.take(0, "scans", deadline, false)).unwrap();
+//! assert_eq!(gate.running(), 1);
+//! drop(grant);
+//! assert_eq!(gate.running(), 0);
+//! ```
+//!
+//! Which work goes first is decided by [`RankQueue`]; this module lets tasks
+//! wait for that decision, and gives a slot back when its grant is dropped.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_channel::Sender;
+use fulmarrill_runtime::before;
+use fulmarrill_schedule::{RankIndex, RankPolicy, RankQueue, ScheduleRefusal, WorkId, WorkItem};
+
+/// The right to use a slot, or why there is none.
+type SlotReply = Result<(), ScheduleRefusal>;
+
+#[derive(Debug)]
+struct WaitingQueue {
+    queue: RankQueue,
+    waiting: HashMap<WorkId, Sender<SlotReply>>,
+    next_id: WorkId,
+}
+
+/// The slots of one instance and the work that waits for them.
+#[derive(Debug)]
+pub struct SlotGate {
+    state: Mutex<WaitingQueue>,
+}
+
+impl SlotGate {
+    /// A gate before `slots` slots. `policies` are in the order of urgency.
+    #[must_use]
+    pub fn new(policies: Vec<RankPolicy>, slots: usize) -> Arc<Self> {
+        Arc::new(Self {
+            state: Mutex::new(WaitingQueue {
+                queue: RankQueue::new(policies, slots, Instant::now()),
+                waiting: HashMap::new(),
+                next_id: 1,
+            }),
+        })
+    }
+
+    fn state(&self) -> MutexGuard<'_, WaitingQueue> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Puts other ranks or another number of slots in force.
+    pub fn set_policies(&self, policies: Vec<RankPolicy>, slots: usize) {
+        self.state()
+            .queue
+            .set_policies(policies, slots, Instant::now());
+        self.dispatch();
+    }
+
+    /// Waits for a slot. A rank past the last counts as the last.
+    ///
+    /// # Errors
+    ///
+    /// Why the work will not be started.
+    pub async fn take(
+        self: &Arc<Self>,
+        rank: RankIndex,
+        flow: &str,
+        deadline: Instant,
+        continues: bool,
+    ) -> Result<SlotGrant, ScheduleRefusal> {
+        let (id, rank, granted) = {
+            let mut state = self.state();
+            let rank = rank.min(state.queue.rank_count().saturating_sub(1));
+            let id = state.next_id;
+            state.next_id += 1;
+            let item = WorkItem::new(id, rank, flow, deadline).with_continues(continues);
+            state.queue.offer(Instant::now(), item)?;
+            let (reply, granted) = async_channel::bounded(1);
+            state.waiting.insert(id, reply);
+            (id, rank, granted)
+        };
+        self.dispatch();
+        let mut ticket = SlotTicket {
+            gate: self.clone(),
+            rank,
+            id,
+            taken: false,
+        };
+        match before(deadline, granted.recv()).await {
+            Ok(Ok(Ok(()))) => {
+                ticket.taken = true;
+                Ok(SlotGrant {
+                    gate: self.clone(),
+                    rank,
+                    started_at: Instant::now(),
+                })
+            }
+            Ok(Ok(Err(refusal))) => {
+                ticket.taken = true;
+                Err(refusal)
+            }
+            _ => Err(ScheduleRefusal::TooLate(Duration::ZERO)),
+        }
+    }
+
+    /// Starts whatever may start now.
+    fn dispatch(&self) {
+        let mut state = self.state();
+        while let Some(item) = state.queue.next(Instant::now()) {
+            let reply = state.waiting.remove(&item.id);
+            let taken = reply.is_some_and(|reply| reply.try_send(Ok(())).is_ok());
+            if !taken {
+                state
+                    .queue
+                    .finish(Instant::now(), item.rank, Duration::ZERO);
+            }
+        }
+        for item in state.queue.take_expired() {
+            if let Some(reply) = state.waiting.remove(&item.id) {
+                let refusal = ScheduleRefusal::TooLate(Duration::ZERO);
+                reply.try_send(Err(refusal)).ok();
+            }
+        }
+    }
+
+    fn finish(&self, rank: RankIndex, elapsed: Duration) {
+        self.state().queue.finish(Instant::now(), rank, elapsed);
+        self.dispatch();
+    }
+
+    /// Time until new work of a rank would start.
+    #[must_use]
+    pub fn expected_wait(&self, rank: RankIndex) -> Duration {
+        self.state().queue.expected_wait(Instant::now(), rank)
+    }
+
+    /// Number of ranks.
+    #[must_use]
+    pub fn rank_count(&self) -> usize {
+        self.state().queue.rank_count()
+    }
+
+    /// Number of slots in use.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.state().queue.running()
+    }
+
+    /// Amount of work that waits.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.state().queue.len()
+    }
+}
+
+/// A wait for a slot. Dropped early it leaves the queue.
+#[derive(Debug)]
+struct SlotTicket {
+    gate: Arc<SlotGate>,
+    rank: RankIndex,
+    id: WorkId,
+    taken: bool,
+}
+
+impl Drop for SlotTicket {
+    fn drop(&mut self) {
+        if self.taken {
+            return;
+        }
+        let mut state = self.gate.state();
+        let waiting = state.waiting.remove(&self.id).is_some();
+        if waiting {
+            state.queue.cancel(self.rank, self.id);
+            return;
+        }
+        // The slot was granted and nobody heard of it.
+        state
+            .queue
+            .finish(Instant::now(), self.rank, Duration::ZERO);
+        drop(state);
+        self.gate.dispatch();
+    }
+}
+
+/// A slot in use. It is free again when this is dropped.
+#[derive(Debug)]
+pub struct SlotGrant {
+    gate: Arc<SlotGate>,
+    rank: RankIndex,
+    started_at: Instant,
+}
+
+impl Drop for SlotGrant {
+    fn drop(&mut self) {
+        self.gate.finish(self.rank, self.started_at.elapsed());
+    }
+}
--- a/crates/standin/src/database/backend.rs
+++ b/crates/standin/src/database/backend.rs
@@ -6,9 +6,10 @@
 
 use bytes::BytesMut;
 use fulmarrill_pg::{
-    ErrorReport, MessageStream, PgError, StartupRequest, before, decode_frontend, encode_backend,
+    ErrorReport, MessageStream, PgError, StartupRequest, decode_frontend, encode_backend,
     greet_caller, read_startup, sqlstate,
 };
+use fulmarrill_runtime::before;
 use pgwire::messages::data::{
     DataRow, FieldDescription, NoData, ParameterDescription, RowDescription,
 };
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -11,10 +11,10 @@
 use event_listener::Event;
 use fulmarrill_http::{HttpAnswer, HttpClient, HttpRequest, Method, serve_http};
 use fulmarrill_ownership::HostEntry;
-use fulmarrill_pg::before;
 use fulmarrill_platform::{
     HostList, ObjectKey, ObjectList, ObjectVersion, PutRequest, PutResult, StoredObject,
 };
+use fulmarrill_runtime::before;
 use serde::{Deserialize, Serialize};
 use smol::Timer;
 use smol::net::TcpListener;
