--- a/crates/fleet/src/local.rs
+++ b/crates/fleet/src/local.rs
@@ -8,7 +8,7 @@
 use compact_str::{CompactString, format_compact};
 use fulmarrill_document::HostSettings;
 use fulmarrill_host::{HostError, HostProcess};
-use fulmarrill_platform::ObjectKey;
+use fulmarrill_objects::ObjectKey;
 use fulmarrill_replication::{DatabaseGroup, GroupInstance};
 use fulmarrill_standin::{
     DatabaseError, DatabaseStandin, ForwarderFaults, InstanceFaults, InstanceOptions,
--- a/crates/host/src/console.rs
+++ b/crates/host/src/console.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use fulmarrill_document::{OperatorDocument, show_faults};
 use fulmarrill_http::{HttpAnswer, HttpRequest, Method, serve_http};
-use fulmarrill_platform::ObjectKey;
+use fulmarrill_objects::ObjectKey;
 use serde::Deserialize;
 use serde_json::{Value, json};
 
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -5,8 +5,8 @@
 use async_channel::Sender;
 use compact_str::{CompactString, format_compact};
 use fulmarrill_document::HostSettings;
+use fulmarrill_objects::PlatformClient;
 use fulmarrill_ownership::{HostEntry, HostState};
-use fulmarrill_platform::PlatformClient;
 use serde::Serialize;
 use smol::net::TcpListener;
 
--- a/crates/host/src/control/coordinator.rs
+++ b/crates/host/src/control/coordinator.rs
@@ -11,9 +11,9 @@
 use std::time::{Duration, Instant};
 
 use compact_str::{CompactString, format_compact};
+use fulmarrill_objects::ObjectKey;
 use fulmarrill_peer::{ControlGroup, ControlNews, PeerCall};
 use fulmarrill_pg::{DatabaseConnection, PgError};
-use fulmarrill_platform::ObjectKey;
 use fulmarrill_position::{DatabaseName, InstanceName, InstanceRole, InstanceStatus, LogPoint};
 use fulmarrill_replication::{
     DatabaseGroup, GroupInstance, GroupMonitor, MonitorVerdict, PromotionAction, PromotionEvent,
--- a/crates/host/src/kernel.rs
+++ b/crates/host/src/kernel.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use fulmarrill_document::HostSettings;
-use fulmarrill_platform::PlatformClient;
+use fulmarrill_objects::PlatformClient;
 use smol::Timer;
 use smol::net::TcpListener;
 
--- a/crates/host/src/platform.rs
+++ b/crates/host/src/platform.rs
@@ -6,10 +6,10 @@
 
 use std::time::{Duration, Instant};
 
-use fulmarrill_peer::{ControlDocument, ControlGroup, ControlHosts, ControlNews};
-use fulmarrill_platform::{
+use fulmarrill_objects::{
     HostList, ObjectKey, ObjectList, PlatformClient, PlatformError, PutResult, StoredObject,
 };
+use fulmarrill_peer::{ControlDocument, ControlGroup, ControlHosts, ControlNews};
 use fulmarrill_schedule::backoff_delay;
 use serde_json::Value;
 use smol::Timer;
--- a/crates/host/src/records.rs
+++ b/crates/host/src/records.rs
@@ -12,9 +12,9 @@
 
 use compact_str::{CompactString, format_compact};
 use event_listener::Event;
+use fulmarrill_objects::{ObjectKey, PutResult};
 use fulmarrill_ownership::HostEntry;
 use fulmarrill_peer::{PeerCall, PeerReply, RecordBatch};
-use fulmarrill_platform::{ObjectKey, PutResult};
 use fulmarrill_records::{RecordChain, RecordLimit, RecordSegment, RequestRecord};
 use fulmarrill_runtime::before;
 use serde_json::Value;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -79,12 +79,32 @@
         body: Vec<u8>,
         deadline: Instant,
     ) -> Result<HttpAnswer, HttpError> {
-        let request = Request::builder()
+        self.request_with_headers(method, path, &[], body, deadline)
+            .await
+    }
+
+    /// As [`HttpClient::request`], with headers of the caller's own.
+    ///
+    /// # Errors
+    ///
+    /// When no whole answer came before `deadline`.
+    pub async fn request_with_headers(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+        deadline: Instant,
+    ) -> Result<HttpAnswer, HttpError> {
+        let mut request = Request::builder()
             .method(method)
             .uri(path)
             .header(HOST, self.address.as_str())
-            .header(CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(body)))?;
+            .header(CONTENT_TYPE, "application/json");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(Bytes::from(body)))?;
         let timeout = async {
             Timer::at(deadline).await;
             Err(HttpError::Silent(self.address.clone()))
--- a/crates/platform/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! ```no_run
 //! use std::time::{Duration, Instant};
-//! use fulmarrill_platform::{ObjectKey, PlatformClient};
+//! use fulmarrill_objects::{ObjectKey, PlatformClient};
 //!
 //! let client = PlatformClient::new("127.0.0.1:7000");
 //! let key = ObjectKey::new("document", "operators");
--- /dev/null
+++ b/crates/proxy/src/catalogue.rs
@@ -0,0 +1,121 @@
+//! What operators and the platform say: endpoints, instances, hosts, terms.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use fulmarrill_position::{DatabaseName, Term};
+use fulmarrill_schedule::RankIndex;
+use serde::{Deserialize, Serialize};
+
+use crate::codec::DatabaseRole;
+
+/// Name of an endpoint that callers ask for.
+pub type EndpointName = CompactString;
+/// Identity of one instance; a replacement has another.
+pub type InstanceId = CompactString;
+/// Name of a host.
+pub type HostName = CompactString;
+/// Name of one run of a host's process.
+pub type RunName = CompactString;
+/// Version of an object in the store.
+pub type ObjectVersion = u64;
+
+/// How fresh the data of an endpoint's reads must be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadFreshness {
+    /// Every acknowledged commit.
+    Latest,
+    /// Every commit acknowledged longer ago than this.
+    Aged(Duration),
+    /// As `Aged`, and every commit of the own session.
+    AgedWithOwn(Duration),
+}
+
+/// An endpoint: a name under which callers reach a database.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointEntry {
+    /// Name.
+    pub name: EndpointName,
+    /// Database that it stands for.
+    pub database: DatabaseName,
+    /// How fresh reads must be.
+    pub freshness: ReadFreshness,
+    /// Time that one statement may take.
+    pub statement_time: Duration,
+    /// Rank of its work, 0 for the most urgent.
+    pub rank: RankIndex,
+}
+
+/// Limits of one database.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DatabaseLimits {
+    /// Connections that each of its instances accepts from everybody.
+    pub connections: usize,
+}
+
+/// One version of the operators' configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointTable {
+    /// Version; later versions are higher.
+    pub version: u64,
+    /// Endpoints by name.
+    pub endpoints: BTreeMap<EndpointName, EndpointEntry>,
+    /// Databases by name.
+    pub databases: BTreeMap<DatabaseName, DatabaseLimits>,
+    /// Time after which a transaction without a statement may be ended.
+    pub transaction_idle_time: Duration,
+}
+
+/// One instance, as it describes itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InstanceEntry {
+    /// Identity.
+    pub id: InstanceId,
+    /// Database that it belongs to.
+    pub database: DatabaseName,
+    /// Address, `IP:PORT`.
+    pub address: CompactString,
+    /// Data centre.
+    pub data_centre: CompactString,
+    /// Statements that it runs at the same time.
+    pub slots: usize,
+    /// Whether it is leaving and takes no new work.
+    pub leaving: bool,
+    /// Role that it sees itself in.
+    pub role: DatabaseRole,
+    /// When it started, in milliseconds since 1970 by its own clock.
+    pub started_ms: u64,
+}
+
+/// One host, as it describes itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostEntry {
+    /// Name.
+    pub name: HostName,
+    /// This run of its process.
+    pub run: RunName,
+    /// Address for other hosts, `IP:PORT`.
+    pub address: CompactString,
+    /// Data centre.
+    pub data_centre: CompactString,
+    /// Region.
+    pub region: CompactString,
+}
+
+/// Who may use which primary, as agreed in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TermRecord {
+    /// The database.
+    pub database: DatabaseName,
+    /// Term in force, or the last one while it is being changed.
+    pub term: Term,
+    /// Instance that leads this term.
+    pub primary: InstanceId,
+    /// Number of the last change of primary; it fences orders to the platform.
+    pub fence: u64,
+    /// Runs of hosts that may use the primary in this term.
+    pub holders: Vec<RunName>,
+    /// Run that is changing the term; nobody may use the primary meanwhile.
+    pub changed_by: Option<RunName>,
+}
--- /dev/null
+++ b/crates/proxy/src/entry.rs
@@ -0,0 +1,98 @@
+//! The entry: takes callers, chooses an instance, sends work to its owner.
+
+pub mod placement;
+pub mod reads;
+pub mod router;
+pub mod session;
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use fulmarrill_position::{DatabaseName, FreshnessLog, LogPoint};
+
+use crate::catalogue::InstanceId;
+use crate::entry::placement::InstanceSight;
+use crate::entry::reads::SharedQuestion;
+
+/// What an entry knows, shared by its sessions.
+#[derive(Debug, Default)]
+pub struct EntryState {
+    sessions: AtomicUsize,
+    freshness: Mutex<HashMap<DatabaseName, FreshnessLog>>,
+    questions: Mutex<HashMap<DatabaseName, SharedQuestion>>,
+    sights: Mutex<HashMap<InstanceId, InstanceSight>>,
+}
+
+/// Locks, whatever became of the last holder: the state is only hints.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl EntryState {
+    /// An entry that has seen nothing.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Number of open sessions.
+    #[must_use]
+    pub fn session_count(&self) -> usize {
+        self.sessions.load(Ordering::Relaxed)
+    }
+
+    /// What was seen of an instance.
+    #[must_use]
+    pub fn sight(&self, instance: &str) -> InstanceSight {
+        lock(&self.sights)
+            .get(instance)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Notes that work goes to an instance.
+    pub fn note_sent(&self, instance: &InstanceId) {
+        lock(&self.sights)
+            .entry(instance.clone())
+            .or_default()
+            .outstanding += 1;
+    }
+
+    /// Notes that work at an instance has ended, and how long it took if it
+    /// was served.
+    pub fn note_ended(&self, instance: &str, served: Option<Duration>) {
+        let mut sights = lock(&self.sights);
+        let Some(sight) = sights.get_mut(instance) else {
+            return;
+        };
+        sight.outstanding = sight.outstanding.saturating_sub(1);
+        if let Some(time) = served {
+            sight.note_time(time);
+        }
+    }
+
+    /// Leaves an instance out until a moment.
+    pub fn avoid(&self, instance: &InstanceId, until: Instant) {
+        lock(&self.sights)
+            .entry(instance.clone())
+            .or_default()
+            .avoid_until = Some(until);
+    }
+
+    /// Notes a position of the primary that covers every commit acknowledged
+    /// until `as_of`.
+    pub fn note_position(&self, database: &DatabaseName, as_of: Instant, point: LogPoint) {
+        lock(&self.freshness)
+            .entry(database.clone())
+            .or_default()
+            .record(as_of, point);
+    }
+
+    /// The lowest position known to be no older than `oldest`.
+    #[must_use]
+    pub fn position_since(&self, database: &str, oldest: Instant) -> Option<LogPoint> {
+        lock(&self.freshness).get(database)?.point_since(oldest)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/entry/placement.rs
@@ -0,0 +1,114 @@
+//! Which instance a read goes to. Pure: no I/O and no clock of its own.
+//!
+//! Answers the load of an ordinary day and of a flood of reads: work goes
+//! where it is expected to be answered first, and does not pay for the link
+//! between regions unless waiting would cost more.
+
+use std::time::{Duration, Instant};
+
+use crate::catalogue::InstanceEntry;
+use crate::codec::DatabaseRole;
+
+/// Weight of the newest sample in the mean time of an instance's answers.
+const TIME_WEIGHT: f64 = 0.1;
+/// Time of an answer before any was measured, in seconds.
+const FIRST_TIME: f64 = 0.02;
+/// Added for an instance in another data centre of the region, in seconds: two
+/// ways of about a millisecond, and the bytes.
+const OTHER_CENTRE_TIME: f64 = 0.004;
+/// Added for an instance in another region, in seconds: two ways of 20 ms, and
+/// bytes that cost four times those between data centres.
+const OTHER_REGION_TIME: f64 = 0.080;
+/// Added for the primary, in seconds, since only it can serve writes.
+const PRIMARY_TIME: f64 = 0.030;
+
+/// What an entry has seen of one instance.
+#[derive(Debug, Clone, Copy)]
+pub struct InstanceSight {
+    /// Mean time of an answer, in seconds.
+    pub mean_time: f64,
+    /// Work sent and not yet answered.
+    pub outstanding: u32,
+    /// Until when the instance is left out, after it failed or was behind.
+    pub avoid_until: Option<Instant>,
+}
+
+impl Default for InstanceSight {
+    fn default() -> Self {
+        Self {
+            mean_time: FIRST_TIME,
+            outstanding: 0,
+            avoid_until: None,
+        }
+    }
+}
+
+impl InstanceSight {
+    /// Notes the time of an answer.
+    pub fn note_time(&mut self, time: Duration) {
+        self.mean_time += TIME_WEIGHT * (time.as_secs_f64() - self.mean_time);
+    }
+}
+
+/// Where the entry stands.
+#[derive(Debug, Clone, Copy)]
+pub struct EntryPlace<'a> {
+    /// Its data centre.
+    pub data_centre: &'a str,
+    /// Its region.
+    pub region: &'a str,
+}
+
+/// An instance that a read could go to.
+#[derive(Debug, Clone, Copy)]
+pub struct ReadCandidate<'a> {
+    /// The instance.
+    pub instance: &'a InstanceEntry,
+    /// Its region, if known.
+    pub region: Option<&'a str>,
+    /// What was seen of it.
+    pub sight: InstanceSight,
+}
+
+/// Time in which a candidate is expected to answer, in seconds.
+#[must_use]
+pub fn expected_time(candidate: &ReadCandidate<'_>, place: EntryPlace<'_>) -> f64 {
+    let sight = &candidate.sight;
+    let slots = u32::try_from(candidate.instance.slots.max(1)).unwrap_or(1);
+    let queue = f64::from(sight.outstanding) / f64::from(slots);
+    let mut time = sight.mean_time * (1.0 + queue);
+    if candidate
+        .region
+        .is_some_and(|region| region != place.region)
+    {
+        time += OTHER_REGION_TIME;
+    } else if candidate.instance.data_centre != place.data_centre {
+        time += OTHER_CENTRE_TIME;
+    }
+    if candidate.instance.role == DatabaseRole::Primary {
+        time += PRIMARY_TIME;
+    }
+    time
+}
+
+/// The candidate that should answer first; one that is to be avoided only if
+/// there is no other.
+#[must_use]
+pub fn choose_instance<'a>(
+    candidates: &[ReadCandidate<'a>],
+    place: EntryPlace<'_>,
+    now: Instant,
+) -> Option<&'a InstanceEntry> {
+    let mut best: Option<(bool, f64, &InstanceEntry)> = None;
+    for candidate in candidates {
+        let avoided = candidate.sight.avoid_until.is_some_and(|until| now < until);
+        let time = expected_time(candidate, place);
+        let better = best.is_none_or(|(other_avoided, other_time, _)| {
+            (avoided, time) < (other_avoided, other_time)
+        });
+        if better {
+            best = Some((avoided, time, candidate.instance));
+        }
+    }
+    best.map(|(_, _, instance)| instance)
+}
--- /dev/null
+++ b/crates/proxy/src/entry/router.rs
@@ -0,0 +1,124 @@
+//! Sends work to the owner of an instance.
+
+use std::time::Instant;
+
+use fulmarrill_position::{LogPoint, Term};
+
+use crate::catalogue::{HostName, InstanceEntry, InstanceId};
+use crate::context::SharedContext;
+use crate::peers::{ProxyCall, ProxyReply};
+use crate::view::TrafficView;
+use crate::work::{NotRunReason, WorkAnswer, WorkRequest, WorkStep};
+
+/// Owners that are tried for one instance before the entry gives up.
+const OWNERS_MAX: usize = 3;
+
+/// An answer and the host that gave it.
+#[derive(Debug)]
+pub struct RoutedAnswer {
+    /// The answer.
+    pub answer: WorkAnswer,
+    /// Owner that has the transaction, if one goes on.
+    pub owner: HostName,
+    /// Instance that it was sent to.
+    pub instance: InstanceId,
+    /// Term that the instance was to lead, if it had to be the primary.
+    pub lead: Option<Term>,
+}
+
+impl RoutedAnswer {
+    /// The answer to work that was sent nowhere.
+    #[must_use]
+    pub fn not_run(reason: NotRunReason) -> Self {
+        Self {
+            answer: WorkAnswer::NotRun(reason),
+            owner: HostName::default(),
+            instance: InstanceId::default(),
+            lead: None,
+        }
+    }
+}
+
+/// Sends work to the owner of `instance`, or to the next in line if the owner
+/// cannot be reached or cannot reach the instance.
+pub async fn send_work(
+    context: &SharedContext,
+    view: &TrafficView,
+    instance: &InstanceEntry,
+    request: WorkRequest,
+) -> RoutedAnswer {
+    let region = context.region_of(&instance.data_centre);
+    let owners = view.owners_of(instance, region);
+    let mut result = WorkAnswer::NotRun(NotRunReason::NoOwner);
+    let mut tried = 0;
+    for host in owners {
+        let is_self = host.name == context.place.host;
+        if !is_self && context.peers.is_avoided(&host.address) {
+            continue;
+        }
+        if tried == OWNERS_MAX || Instant::now() >= request.deadline {
+            break;
+        }
+        tried += 1;
+        result = send_to_host(context, &host.name, &host.address, request.clone()).await;
+        let pass_on = matches!(
+            result,
+            WorkAnswer::NotRun(NotRunReason::NoOwner | NotRunReason::Unreachable)
+        );
+        if !pass_on {
+            return RoutedAnswer {
+                answer: result,
+                owner: host.name.clone(),
+                instance: request.instance,
+                lead: request.lead,
+            };
+        }
+    }
+    RoutedAnswer {
+        answer: result,
+        ..RoutedAnswer::not_run(NotRunReason::NoOwner)
+    }
+}
+
+/// Sends work to one host.
+pub async fn send_to_host(
+    context: &SharedContext,
+    host: &str,
+    address: &str,
+    request: WorkRequest,
+) -> WorkAnswer {
+    let instance = request.instance.clone();
+    let database = request.database.clone();
+    let lead = request.lead;
+    let step = request.step;
+    let deadline = request.deadline;
+    let sent_at = Instant::now();
+    context.entry.note_sent(&instance);
+    let answer = if host == context.place.host {
+        context.owners.run(host, request).await
+    } else {
+        let call = ProxyCall::Run(Box::new(request));
+        match context.peers.call(address, call, deadline).await {
+            Ok(ProxyReply::Work(answer)) => answer,
+            Ok(_) => WorkAnswer::Unknown,
+            Err(error) if error.may_have_arrived() => WorkAnswer::Unknown,
+            Err(_) if matches!(step, WorkStep::Continue(_)) => {
+                WorkAnswer::NotRun(NotRunReason::TransactionLost)
+            }
+            Err(_) => WorkAnswer::NotRun(NotRunReason::NoOwner),
+        }
+    };
+    let served = match &answer {
+        WorkAnswer::Served { point, .. } => {
+            if let (Some(term), Some(point)) = (lead, point) {
+                // The answer was made after the work was sent.
+                let point = LogPoint::new(term, point.position);
+                context.entry.note_position(&database, sent_at, point);
+            }
+            Some(sent_at.elapsed())
+        }
+        _ => None,
+    };
+    context.entry.note_ended(&instance, served);
+    answer
+}
--- /dev/null
+++ b/crates/proxy/src/entry/session.rs
@@ -0,0 +1,499 @@
+//! One caller's session.
+
+use std::collections::HashMap;
+use std::io;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use compact_str::CompactString;
+use fulmarrill_position::{LogPoint, Term};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use smol::net::TcpStream;
+use thiserror::Error;
+
+use crate::catalogue::{EndpointEntry, HostName, InstanceId, ReadFreshness};
+use crate::codec::{CallerMessage, CallerReply, CodecError, ErrorKind};
+use crate::context::SharedContext;
+use crate::entry::reads::{read_floor, run_read};
+use crate::entry::router::{RoutedAnswer, send_to_host, send_work};
+use crate::statement::{
+    CallerStatement, PreparedName, PreparedShape, SessionValues, StatementId, TransactionState,
+};
+use crate::work::{NotRunReason, PinId, WorkAnswer, WorkRequest, WorkStatement, WorkStep};
+
+/// Bytes read at once.
+const READ_BYTES: usize = 8 << 10;
+/// Time that a new session waits for the first configuration; callers give up
+/// after two seconds.
+const STARTUP_TIME: Duration = Duration::from_millis(1500);
+/// Time between two tries at a primary that is being replaced.
+const RETRY_TIME: Duration = Duration::from_millis(60);
+/// Time for rolling back what a caller left open.
+const ABANDON_TIME: Duration = Duration::from_secs(1);
+
+/// Why a session ended other than by the caller's wish.
+#[derive(Debug, Error)]
+pub enum SessionError {
+    /// The connection failed.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The caller sent something that is not a message.
+    #[error(transparent)]
+    Codec(#[from] CodecError),
+}
+
+/// Where an open transaction is.
+#[derive(Debug, Clone)]
+struct OpenTransaction {
+    owner: HostName,
+    instance: InstanceId,
+    lead: Option<Term>,
+    pin: PinId,
+}
+
+/// The session's transaction, as the caller sees it.
+#[derive(Debug, Clone)]
+enum SessionTransaction {
+    /// None is open.
+    Idle,
+    /// Opened by the caller; no instance knows of it yet.
+    Begun { reads_only: bool },
+    /// Open at an instance.
+    Open(OpenTransaction),
+    /// Rolled back; the caller has yet to end it.
+    Failed,
+}
+
+/// A caller's session.
+struct CallerSession {
+    context: SharedContext,
+    stream: TcpStream,
+    input: BytesMut,
+    output: Vec<u8>,
+    endpoint: Arc<EndpointEntry>,
+    values: SessionValues,
+    prepared: HashMap<PreparedName, PreparedShape>,
+    own_point: Option<LogPoint>,
+    transaction: SessionTransaction,
+}
+
+/// Serves a caller from its first message to its end.
+pub async fn serve_caller(context: SharedContext, stream: TcpStream) {
+    stream.set_nodelay(true).ok();
+    let mut session = CallerSession {
+        context,
+        stream,
+        input: BytesMut::new(),
+        output: Vec::new(),
+        endpoint: Arc::new(EndpointEntry {
+            name: CompactString::default(),
+            database: CompactString::default(),
+            freshness: ReadFreshness::Latest,
+            statement_time: Duration::ZERO,
+            rank: 0,
+        }),
+        values: SessionValues::default(),
+        prepared: HashMap::new(),
+        own_point: None,
+        transaction: SessionTransaction::Idle,
+    };
+    if let Err(error) = session.serve().await {
+        log::debug!("session ended: {error}");
+    }
+    session.abandon();
+}
+
+impl CallerSession {
+    async fn serve(&mut self) -> Result<(), SessionError> {
+        let Some(CallerMessage::Startup { endpoint, .. }) = self.read_message().await? else {
+            return Ok(());
+        };
+        if !self.find_endpoint(&endpoint).await {
+            self.reply(&CallerReply::Error(ErrorKind::NoDatabase, endpoint));
+            self.flush().await?;
+            return Ok(());
+        }
+        self.reply_ready(None);
+        self.flush().await?;
+        while let Some(message) = self.read_message().await? {
+            match message {
+                CallerMessage::Goodbye => return Ok(()),
+                CallerMessage::Statement { id, statement } => {
+                    // Boxed, so that an idle session takes little room.
+                    Box::pin(self.handle(id, statement)).await;
+                }
+                CallerMessage::Startup { .. } => {
+                    self.refuse(ErrorKind::Malformed, "the session is already open");
+                }
+                CallerMessage::Malformed(why) => self.refuse(ErrorKind::Malformed, &why),
+            }
+            self.flush().await?;
+        }
+        Ok(())
+    }
+
+    async fn read_message(&mut self) -> Result<Option<CallerMessage>, SessionError> {
+        loop {
+            if let Some(message) = (self.context.callers.decode)(&mut self.input)? {
+                return Ok(Some(message));
+            }
+            let start = self.input.len();
+            self.input.resize(start + READ_BYTES, 0);
+            let read = self.stream.read(&mut self.input[start..]).await;
+            self.input
+                .truncate(start + read.as_ref().map_or(0, |count| *count));
+            if read? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    fn reply(&mut self, reply: &CallerReply) {
+        (self.context.callers.encode)(reply, &mut self.output);
+    }
+
+    async fn flush(&mut self) -> Result<(), SessionError> {
+        let written = self.stream.write_all(&self.output).await;
+        self.output.clear();
+        if self.input.is_empty() {
+            // An idle session keeps no buffers.
+            self.input = BytesMut::new();
+            self.output = Vec::new();
+        }
+        Ok(written?)
+    }
+
+    fn state(&self) -> TransactionState {
+        match self.transaction {
+            SessionTransaction::Idle => TransactionState::Idle,
+            SessionTransaction::Begun { .. } | SessionTransaction::Open(_) => {
+                TransactionState::Open
+            }
+            SessionTransaction::Failed => TransactionState::Failed,
+        }
+    }
+
+    fn reply_ready(&mut self, point: Option<LogPoint>) {
+        let state = self.state();
+        self.reply(&CallerReply::Ready(state, point));
+    }
+
+    fn refuse(&mut self, kind: ErrorKind, text: &str) {
+        self.reply(&CallerReply::Error(kind, text.into()));
+        self.reply_ready(None);
+    }
+
+    fn succeed(&mut self) {
+        self.reply(&CallerReply::Done(None));
+        self.reply_ready(None);
+    }
+
+    /// Looks an endpoint up, waiting for the first configuration if there is
+    /// none yet.
+    async fn find_endpoint(&mut self, name: &str) -> bool {
+        let deadline = Instant::now() + STARTUP_TIME;
+        loop {
+            let listener = self.context.view.listen();
+            let view = self.context.view.load();
+            if let Some(table) = &view.endpoints {
+                let Some(endpoint) = table.endpoints.get(name) else {
+                    return false;
+                };
+                self.endpoint = Arc::new(endpoint.clone());
+                return true;
+            }
+            if Instant::now() >= deadline {
+                return false;
+            }
+            self.context.view.wait(listener, deadline).await;
+        }
+    }
+
+    /// Takes over what the configuration in force says of the endpoint. A
+    /// change applies from the next transaction on.
+    fn refresh_endpoint(&mut self) -> bool {
+        let view = self.context.view.load();
+        let Some(table) = &view.endpoints else {
+            return true;
+        };
+        match table.endpoints.get(&self.endpoint.name) {
+            None => false,
+            Some(endpoint) => {
+                if *endpoint != *self.endpoint {
+                    self.endpoint = Arc::new(endpoint.clone());
+                }
+                true
+            }
+        }
+    }
+
+    async fn handle(&mut self, id: StatementId, statement: CallerStatement) {
+        let ends = matches!(
+            statement,
+            CallerStatement::Commit | CallerStatement::Rollback
+        );
+        if matches!(self.transaction, SessionTransaction::Failed) && !ends {
+            self.refuse(ErrorKind::Malformed, "the transaction has failed");
+            return;
+        }
+        if matches!(self.transaction, SessionTransaction::Idle) && !self.refresh_endpoint() {
+            let name = self.endpoint.name.clone();
+            self.refuse(ErrorKind::NoDatabase, &name);
+            return;
+        }
+        match statement {
+            CallerStatement::Begin { reads_only } => self.begin(reads_only),
+            CallerStatement::Commit => self.commit(id).await,
+            CallerStatement::Rollback => self.roll_back(),
+            CallerStatement::Set { name, value } => {
+                Arc::make_mut(&mut self.values).insert(name, value);
+                self.succeed();
+            }
+            CallerStatement::Prepare { name, shape } => {
+                self.prepared.insert(name, shape);
+                self.succeed();
+            }
+            CallerStatement::Deallocate { name } => match self.prepared.remove(&name) {
+                Some(_) => self.succeed(),
+                None => self.refuse(ErrorKind::NotPrepared, &name),
+            },
+            CallerStatement::Read(text) => {
+                let writes = false;
+                self.run(WorkStatement::Text { id, writes, text }).await;
+            }
+            CallerStatement::Write(text) => {
+                let writes = true;
+                self.run(WorkStatement::Text { id, writes, text }).await;
+            }
+            CallerStatement::Execute { name, arguments } => {
+                let Some(shape) = self.prepared.get(&name).cloned() else {
+                    self.refuse(ErrorKind::NotPrepared, &name);
+                    return;
+                };
+                self.run(WorkStatement::Prepared {
+                    id,
+                    shape,
+                    arguments,
+                })
+                .await;
+            }
+        }
+    }
+
+    fn begin(&mut self, reads_only: bool) {
+        if !matches!(self.transaction, SessionTransaction::Idle) {
+            self.refuse(ErrorKind::Malformed, "a transaction is already open");
+            return;
+        }
+        self.transaction = SessionTransaction::Begun { reads_only };
+        self.succeed();
+    }
+
+    async fn commit(&mut self, id: StatementId) {
+        match self.transaction {
+            SessionTransaction::Idle => {
+                self.refuse(ErrorKind::Malformed, "no transaction is open");
+            }
+            SessionTransaction::Failed => {
+                self.transaction = SessionTransaction::Idle;
+                self.refuse(ErrorKind::Aborted, "the transaction was rolled back");
+            }
+            _ => self.run(WorkStatement::Commit(id)).await,
+        }
+    }
+
+    fn roll_back(&mut self) {
+        if matches!(self.transaction, SessionTransaction::Idle) {
+            self.refuse(ErrorKind::Malformed, "no transaction is open");
+            return;
+        }
+        self.abandon();
+        self.succeed();
+    }
+
+    /// Rolls back what is open, without waiting for it.
+    fn abandon(&mut self) {
+        let transaction = std::mem::replace(&mut self.transaction, SessionTransaction::Idle);
+        let SessionTransaction::Open(open) = transaction else {
+            return;
+        };
+        let step = WorkStep::Continue(open.pin);
+        let mut request = self.request(step, WorkStatement::Rollback);
+        request.instance = open.instance;
+        request.deadline = Instant::now() + ABANDON_TIME;
+        let context = self.context.clone();
+        fulmarrill_runtime::spawn(async move {
+            continue_work(&context, &open.owner, request).await;
+        })
+        .detach();
+    }
+
+    fn request(&self, step: WorkStep, statement: WorkStatement) -> WorkRequest {
+        WorkRequest {
+            database: self.endpoint.database.clone(),
+            instance: InstanceId::default(),
+            lead: None,
+            rank: self.endpoint.rank,
+            deadline: Instant::now() + self.endpoint.statement_time,
+            values: self.values.clone(),
+            after: None,
+            step,
+            statement,
+        }
+    }
+
+    /// Runs a statement at an instance and tells the caller what became of it.
+    async fn run(&mut self, statement: WorkStatement) {
+        let commits = matches!(statement, WorkStatement::Commit(_));
+        let writes = statement.writes();
+        let routed = match self.transaction.clone() {
+            SessionTransaction::Open(open) => self.run_in(&open, statement).await,
+            SessionTransaction::Begun { reads_only } => {
+                let request = self.request(WorkStep::Begin { reads_only }, statement);
+                self.run_first(request, reads_only).await
+            }
+            SessionTransaction::Idle | SessionTransaction::Failed => {
+                let request = self.request(WorkStep::Single, statement);
+                self.run_first(request, !writes).await
+            }
+        };
+        self.finish(routed, commits, writes);
+    }
+
+    async fn run_in(&self, open: &OpenTransaction, statement: WorkStatement) -> RoutedAnswer {
+        let mut request = self.request(WorkStep::Continue(open.pin), statement);
+        request.instance = open.instance.clone();
+        request.lead = open.lead;
+        let answer = continue_work(&self.context, &open.owner, request).await;
+        RoutedAnswer {
+            answer,
+            owner: open.owner.clone(),
+            instance: open.instance.clone(),
+            lead: open.lead,
+        }
+    }
+
+    /// Runs a single statement or the first of a transaction.
+    async fn run_first(&self, request: WorkRequest, reads_only: bool) -> RoutedAnswer {
+        let freshness = self.endpoint.freshness;
+        if !reads_only || freshness == ReadFreshness::Latest {
+            return run_at_primary(&self.context, request, reads_only).await;
+        }
+        let floor = read_floor(
+            &self.context,
+            &request.database,
+            freshness,
+            self.own_point,
+            request.deadline,
+        );
+        let floor = floor.await;
+        run_read(&self.context, request, floor).await
+    }
+
+    /// Tells the caller what became of a statement.
+    fn finish(&mut self, routed: RoutedAnswer, commits: bool, writes: bool) {
+        let in_transaction = !matches!(self.transaction, SessionTransaction::Idle);
+        let leads = routed.lead.is_some();
+        match routed.answer {
+            WorkAnswer::Served {
+                rows,
+                proof,
+                point,
+                pin,
+            } => {
+                self.transaction = match pin {
+                    Some(pin) => SessionTransaction::Open(OpenTransaction {
+                        owner: routed.owner,
+                        instance: routed.instance,
+                        lead: routed.lead,
+                        pin,
+                    }),
+                    None => SessionTransaction::Idle,
+                };
+                if leads && writes && pin.is_none() {
+                    self.own_point = self.own_point.max(point);
+                }
+                for row in rows {
+                    self.reply(&CallerReply::Row(row));
+                }
+                self.reply(&CallerReply::Done(Some(proof)));
+                self.reply_ready(point);
+            }
+            answer => {
+                self.transaction = if in_transaction && !commits {
+                    SessionTransaction::Failed
+                } else {
+                    SessionTransaction::Idle
+                };
+                let (kind, text) = explain(answer, writes);
+                self.refuse(kind, &text);
+            }
+        }
+    }
+}
+
+/// Sends a further statement of an open transaction to where it is.
+async fn continue_work(context: &SharedContext, owner: &str, request: WorkRequest) -> WorkAnswer {
+    let view = context.view.load();
+    let Some(host) = view.hosts.get(owner) else {
+        return WorkAnswer::NotRun(NotRunReason::TransactionLost);
+    };
+    send_to_host(context, owner, &host.address, request).await
+}
+
+/// Runs a request at the primary, and again while it certainly has not run.
+async fn run_at_primary(
+    context: &SharedContext,
+    mut request: WorkRequest,
+    reads_only: bool,
+) -> RoutedAnswer {
+    loop {
+        let listener = context.view.listen();
+        let view = context.view.load();
+        let routed = match view.primary(&request.database) {
+            None => RoutedAnswer::not_run(NotRunReason::NotPrimary),
+            Some((primary, term)) => {
+                request.instance = primary.id.clone();
+                request.lead = Some(term);
+                send_work(context, &view, primary, request.clone()).await
+            }
+        };
+        let again = match &routed.answer {
+            WorkAnswer::NotRun(reason) => *reason != NotRunReason::Overload,
+            WorkAnswer::Unknown => reads_only,
+            _ => false,
+        };
+        let now = Instant::now();
+        if !again || now + RETRY_TIME >= request.deadline {
+            return routed;
+        }
+        context.view.wait(listener, now + RETRY_TIME).await;
+    }
+}
+
+/// What a caller is told of an answer that is no success.
+fn explain(answer: WorkAnswer, writes: bool) -> (ErrorKind, CompactString) {
+    match answer {
+        WorkAnswer::Failed { kind, text } => (kind, text),
+        WorkAnswer::NotRun(reason) => {
+            let (kind, text) = match reason {
+                NotRunReason::Overload => (ErrorKind::Busy, "too much work waits"),
+                NotRunReason::NotPrimary => (ErrorKind::Busy, "the primary is being replaced"),
+                NotRunReason::Behind => (ErrorKind::Behind, "no instance is fresh enough"),
+                NotRunReason::Unreachable => (ErrorKind::Busy, "the instance cannot be reached"),
+                NotRunReason::NoOwner => (ErrorKind::Busy, "the owner cannot be reached"),
+                NotRunReason::TransactionLost => {
+                    (ErrorKind::Aborted, "the transaction was rolled back")
+                }
+            };
+            (kind, text.into())
+        }
+        WorkAnswer::Unknown if writes => {
+            (ErrorKind::InDoubt, "no answer came; it may have run".into())
+        }
+        WorkAnswer::Unknown | WorkAnswer::Served { .. } => {
+            (ErrorKind::TimedOut, "no answer came in time".into())
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/owner.rs
@@ -0,0 +1,197 @@
+//! The owner's side: all connections to the instances that this host serves.
+
+pub mod connection;
+pub mod instance;
+pub mod pool;
+pub mod sight;
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use fulmarrill_position::{DatabaseName, LogPoint, Term};
+
+use crate::catalogue::{InstanceEntry, InstanceId};
+use crate::clock::BootTime;
+use crate::codec::DatabaseCodec;
+use crate::owner::instance::InstanceOwner;
+use crate::owner::sight::PrimarySight;
+use crate::view::{TrafficView, ViewCell};
+use crate::work::{NotRunReason, WorkAnswer, WorkRequest};
+
+/// Share of an instance's connections that one owner may open: the rest is for
+/// its successor, while connections of a dead owner are still counted.
+const CONNECTION_SHARE: f64 = 0.75;
+/// Connections assumed where operators declare none.
+const CONNECTIONS_DEFAULT: usize = 16;
+/// An answer of the primary older than this does not answer the question for
+/// its position; the oldest declared age of data is several times as long.
+const SIGHT_AGE_MAX: Duration = Duration::from_millis(300);
+
+/// The instances that this host has connections to.
+#[derive(Debug)]
+pub struct OwnerTable {
+    codec: DatabaseCodec,
+    view: Arc<ViewCell>,
+    owners: Mutex<HashMap<InstanceId, Arc<InstanceOwner>>>,
+    sights: Mutex<HashMap<DatabaseName, PrimarySight>>,
+}
+
+impl OwnerTable {
+    /// An empty table.
+    #[must_use]
+    pub fn new(codec: DatabaseCodec, view: Arc<ViewCell>) -> Self {
+        Self {
+            codec,
+            view,
+            owners: Mutex::default(),
+            sights: Mutex::default(),
+        }
+    }
+
+    fn owners(&self) -> MutexGuard<'_, HashMap<InstanceId, Arc<InstanceOwner>>> {
+        self.owners.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn sights(&self) -> MutexGuard<'_, HashMap<DatabaseName, PrimarySight>> {
+        self.sights.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// All owners on this host.
+    #[must_use]
+    pub fn all(&self) -> Vec<Arc<InstanceOwner>> {
+        self.owners().values().cloned().collect()
+    }
+
+    /// The owner of an instance on this host, made if there is none.
+    fn owner(&self, view: &TrafficView, instance: &InstanceEntry) -> Arc<InstanceOwner> {
+        let mut owners = self.owners();
+        if let Some(owner) = owners.get(&instance.id)
+            && owner.is_same(instance)
+        {
+            return owner.clone();
+        }
+        let connections = view
+            .endpoints
+            .as_ref()
+            .and_then(|table| table.databases.get(&instance.database))
+            .map_or(CONNECTIONS_DEFAULT, |limits| limits.connections);
+        let owner = Arc::new(InstanceOwner::new(
+            self.codec,
+            instance.clone(),
+            share_of(connections),
+        ));
+        owners.insert(instance.id.clone(), owner.clone());
+        owner
+    }
+
+    /// Forgets instances that are gone from the view.
+    pub fn apply_view(&self, view: &TrafficView) {
+        self.owners()
+            .retain(|id, owner| view.instances.contains_key(id) || owner.is_used());
+    }
+
+    /// Whether this host may use the primary of `term` now.
+    fn may_lead(&self, database: &str, term: Term) -> bool {
+        let view = self.view.load();
+        view.terms
+            .get(database)
+            .is_some_and(|held| held.may_use(term, BootTime::now()))
+    }
+
+    /// Runs work at an instance.
+    pub async fn run(&self, from: &str, request: WorkRequest) -> WorkAnswer {
+        let view = self.view.load();
+        let Some(instance) = view.instances.get(&request.instance) else {
+            return WorkAnswer::NotRun(NotRunReason::Unreachable);
+        };
+        let lead = request.lead;
+        let database = request.database.clone();
+        let may_lead = || lead.is_none_or(|term| self.may_lead(&database, term));
+        let owner = self.owner(&view, instance);
+        let report = owner.run(from, request, &may_lead).await;
+        // An answer that came after the lease had run out may be that of a
+        // replaced primary.
+        if lead.is_some() && !may_lead() {
+            return match report.answer {
+                WorkAnswer::Served { .. } => WorkAnswer::Unknown,
+                other => other,
+            };
+        }
+        if let (Some(_), Some(sent_at), WorkAnswer::Served { point, .. }) =
+            (lead, report.sent_at, &report.answer)
+            && let Some(point) = point
+        {
+            self.sights()
+                .entry(database)
+                .or_default()
+                .record(sent_at, *point);
+        }
+        report.answer
+    }
+
+    /// A position that covers every commit acknowledged until the moment that
+    /// comes with it; none if this host may not use the primary.
+    pub async fn primary_position(&self, database: &str) -> Option<(Instant, LogPoint)> {
+        let view = self.view.load();
+        let (instance, term) = view.primary(database)?;
+        if !self.may_lead(database, term) {
+            return None;
+        }
+        let known = self.sights().get(database).and_then(PrimarySight::latest);
+        let fresh = known
+            .filter(|(sent_at, point)| point.term == term && sent_at.elapsed() <= SIGHT_AGE_MAX);
+        if fresh.is_some() {
+            return fresh;
+        }
+        let owner = self.owner(&view, instance);
+        let found = owner.ask_position(term).await?;
+        if !self.may_lead(database, term) {
+            return None;
+        }
+        self.sights()
+            .entry(database.into())
+            .or_default()
+            .record(found.0, found.1);
+        Some(found)
+    }
+
+    /// Rolls back the open transactions of a host whose link ended.
+    pub fn drop_pins_of(&self, host: &str) {
+        for owner in self.all() {
+            owner.drop_pins(|pinned| pinned.entry == host);
+        }
+    }
+
+    /// Ends transactions that have been idle for too long.
+    pub fn upkeep(&self, now: Instant) {
+        let view = self.view.load();
+        let Some(table) = &view.endpoints else {
+            return;
+        };
+        for owner in self.all() {
+            owner.drop_pins(|pinned| now >= pinned.kept_at + table.transaction_idle_time);
+        }
+    }
+
+    /// The state of all owners, for the dump.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let mut list = Vec::new();
+        for owner in self.all() {
+            list.push(owner.dump());
+        }
+        list.into()
+    }
+}
+
+/// The connections that one owner may open.
+fn share_of(connections: usize) -> usize {
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss
+    )]
+    let share = (connections as f64 * CONNECTION_SHARE) as usize;
+    share.max(1)
+}
--- /dev/null
+++ b/crates/proxy/src/owner/connection.rs
@@ -0,0 +1,196 @@
+//! One connection to an instance.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use bytes::BytesMut;
+use compact_str::CompactString;
+use fulmarrill_position::LogPoint;
+use fulmarrill_runtime::before;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use smol::net::TcpStream;
+use thiserror::Error;
+
+use crate::catalogue::InstanceEntry;
+use crate::codec::{CodecError, DatabaseCodec, DatabaseCommand, DatabaseMessage, ErrorKind};
+use crate::statement::TransactionState;
+
+/// Bytes read at once.
+const READ_BYTES: usize = 16 << 10;
+
+/// Why a connection cannot be used.
+#[derive(Debug, Error)]
+pub enum ConnectionError {
+    /// It cannot be set up; nothing was sent.
+    #[error("cannot connect: {0}")]
+    Connect(CompactString),
+    /// The instance refused it; nothing was run.
+    #[error("connection refused: {0:?} {1}")]
+    Refused(ErrorKind, CompactString),
+    /// It broke, or the deadline came, with an answer outstanding.
+    #[error("connection lost: {0}")]
+    Lost(CompactString),
+    /// The instance sent something that is not a message.
+    #[error(transparent)]
+    Codec(#[from] CodecError),
+}
+
+impl ConnectionError {
+    fn lost(error: &io::Error) -> Self {
+        Self::Lost(error.to_string().into())
+    }
+}
+
+/// The whole answer to one command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DatabaseAnswer {
+    /// Rows.
+    pub rows: Vec<CompactString>,
+    /// Proof, or the failure.
+    pub outcome: Result<CompactString, (ErrorKind, CompactString)>,
+    /// State of the transaction afterwards.
+    pub state: TransactionState,
+    /// Position of the instance's log.
+    pub point: Option<LogPoint>,
+}
+
+/// A connection to an instance on which no answer is outstanding.
+#[derive(Debug)]
+pub struct DatabaseConnection {
+    codec: DatabaseCodec,
+    stream: TcpStream,
+    input: BytesMut,
+    output: Vec<u8>,
+    /// Position that the instance reported last.
+    pub point: Option<LogPoint>,
+}
+
+impl DatabaseConnection {
+    /// Connects to an instance and checks that it is the one meant.
+    ///
+    /// # Errors
+    ///
+    /// When it does not answer before `deadline`, or refuses.
+    pub async fn connect(
+        codec: DatabaseCodec,
+        instance: &InstanceEntry,
+        deadline: Instant,
+    ) -> Result<Self, ConnectionError> {
+        let setup = async {
+            let address: SocketAddr = instance
+                .address
+                .parse()
+                .map_err(|error| ConnectionError::Connect(format!("{error}").into()))?;
+            let stream = TcpStream::connect(address)
+                .await
+                .map_err(|error| ConnectionError::Connect(error.to_string().into()))?;
+            stream.set_nodelay(true).ok();
+            let mut connection = Self {
+                codec,
+                stream,
+                input: BytesMut::new(),
+                output: Vec::new(),
+                point: None,
+            };
+            (codec.greet)(&instance.database, &instance.id, &mut connection.output);
+            connection.flush().await?;
+            connection.read_greeting().await?;
+            Ok(connection)
+        };
+        match before(deadline, setup).await {
+            Ok(result) => result,
+            Err(_) => Err(ConnectionError::Connect("no answer in time".into())),
+        }
+    }
+
+    async fn read_greeting(&mut self) -> Result<(), ConnectionError> {
+        match self.read_message().await? {
+            DatabaseMessage::Ready(_, point) => {
+                self.point = point;
+                Ok(())
+            }
+            DatabaseMessage::Error(kind, text) => Err(ConnectionError::Refused(kind, text)),
+            other => Err(ConnectionError::Lost(
+                format!("unexpected greeting {other:?}").into(),
+            )),
+        }
+    }
+
+    async fn flush(&mut self) -> Result<(), ConnectionError> {
+        let written = self.stream.write_all(&self.output).await;
+        self.output.clear();
+        written.map_err(|error| ConnectionError::lost(&error))
+    }
+
+    async fn read_message(&mut self) -> Result<DatabaseMessage, ConnectionError> {
+        loop {
+            if let Some(message) = (self.codec.decode)(&mut self.input)? {
+                return Ok(message);
+            }
+            let start = self.input.len();
+            self.input.resize(start + READ_BYTES, 0);
+            let read = self.stream.read(&mut self.input[start..]).await;
+            self.input
+                .truncate(start + read.as_ref().map_or(0, |count| *count));
+            match read {
+                Ok(0) => return Err(ConnectionError::Lost("closed by the instance".into())),
+                Ok(_) => {}
+                Err(error) => return Err(ConnectionError::lost(&error)),
+            }
+        }
+    }
+
+    async fn read_answer(&mut self) -> Result<DatabaseAnswer, ConnectionError> {
+        let mut rows = Vec::new();
+        let mut outcome = None;
+        loop {
+            match self.read_message().await? {
+                DatabaseMessage::Row(row) => rows.push(row),
+                DatabaseMessage::Done(proof) => outcome = Some(Ok(proof)),
+                DatabaseMessage::Error(kind, text) => outcome = Some(Err((kind, text))),
+                DatabaseMessage::Ready(state, point) => {
+                    let Some(outcome) = outcome else {
+                        return Err(ConnectionError::Lost("answer without an outcome".into()));
+                    };
+                    self.point = point.or(self.point);
+                    return Ok(DatabaseAnswer {
+                        rows,
+                        outcome,
+                        state,
+                        point,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Sends commands in one write and reads all of their answers. After an
+    /// error, or when this is dropped early, answers may be outstanding, and
+    /// the connection must be closed.
+    ///
+    /// # Errors
+    ///
+    /// When not every answer came before `deadline`.
+    pub async fn exchange(
+        &mut self,
+        commands: &[DatabaseCommand],
+        deadline: Instant,
+    ) -> Result<Vec<DatabaseAnswer>, ConnectionError> {
+        for command in commands {
+            (self.codec.encode)(command, &mut self.output);
+        }
+        let exchange = async {
+            self.flush().await?;
+            let mut answers = Vec::with_capacity(commands.len());
+            for _ in commands {
+                answers.push(self.read_answer().await?);
+            }
+            Ok(answers)
+        };
+        match before(deadline, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(ConnectionError::Lost("no answer in time".into())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/owner/pool.rs
@@ -0,0 +1,259 @@
+//! The connections that one owner has to one instance.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use compact_str::{CompactString, format_compact};
+use event_listener::Event;
+use fulmarrill_runtime::before;
+
+use crate::catalogue::InstanceEntry;
+use crate::codec::{DatabaseCodec, DatabaseCommand};
+use crate::owner::connection::{ConnectionError, DatabaseConnection};
+use crate::statement::{PreparedShape, SessionValues};
+
+/// Time for setting up a connection, several times what an instance takes.
+const CONNECT_TIME: Duration = Duration::from_millis(700);
+/// Prepared statements kept on one connection; past that it starts anew.
+const PREPARED_MAX: usize = 256;
+
+/// A connection and what was set up on it.
+#[derive(Debug)]
+pub struct PooledConnection {
+    /// The connection.
+    pub connection: DatabaseConnection,
+    values: SessionValues,
+    prepared: HashMap<PreparedShape, CompactString>,
+    used_at: Instant,
+}
+
+impl PooledConnection {
+    /// The commands that give this connection a session's values, and the name
+    /// under which it knows `shape`.
+    pub fn prepare_for(
+        &mut self,
+        values: &SessionValues,
+        shape: Option<&PreparedShape>,
+        commands: &mut Vec<DatabaseCommand>,
+    ) -> Option<CompactString> {
+        let full = self.prepared.len() >= PREPARED_MAX
+            && shape.is_some_and(|shape| !self.prepared.contains_key(shape));
+        let removed = self.values.keys().any(|name| !values.contains_key(name));
+        if removed || full {
+            commands.push(DatabaseCommand::Reset);
+            self.values = SessionValues::default();
+            self.prepared.clear();
+        }
+        if self.values != *values {
+            for (name, value) in values.iter() {
+                if self.values.get(name) != Some(value) {
+                    commands.push(DatabaseCommand::Set(name.clone(), value.clone()));
+                }
+            }
+            self.values = values.clone();
+        }
+        let shape = shape?;
+        if let Some(name) = self.prepared.get(shape) {
+            return Some(name.clone());
+        }
+        let name = format_compact!("p{}", self.prepared.len());
+        commands.push(DatabaseCommand::Prepare(name.clone(), shape.clone()));
+        self.prepared.insert(shape.clone(), name.clone());
+        Some(name)
+    }
+
+    /// Forgets what was prepared, after the instance said that it does not
+    /// know a name.
+    pub fn forget_prepared(&mut self) {
+        self.prepared.clear();
+    }
+}
+
+#[derive(Debug, Default)]
+struct PoolState {
+    idle: Vec<PooledConnection>,
+    open: usize,
+}
+
+/// Connections to one instance, at most `limit` of them.
+#[derive(Debug)]
+pub struct ConnectionPool {
+    codec: DatabaseCodec,
+    instance: InstanceEntry,
+    limit: usize,
+    state: Mutex<PoolState>,
+    freed: Event,
+}
+
+impl ConnectionPool {
+    /// A pool without connections.
+    #[must_use]
+    pub fn new(codec: DatabaseCodec, instance: InstanceEntry, limit: usize) -> Arc<Self> {
+        Arc::new(Self {
+            codec,
+            instance,
+            limit,
+            state: Mutex::default(),
+            freed: Event::new(),
+        })
+    }
+
+    fn state(&self) -> MutexGuard<'_, PoolState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Open and idle connections.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        let state = self.state();
+        (state.open, state.idle.len())
+    }
+
+    /// Takes the idle connection that was set up for the same values, else the
+    /// one used last, else opens one, else waits for one.
+    ///
+    /// # Errors
+    ///
+    /// When none can be had before `deadline`.
+    pub async fn take(
+        self: &Arc<Self>,
+        values: &SessionValues,
+        deadline: Instant,
+    ) -> Result<PoolLease, ConnectionError> {
+        loop {
+            let listener = self.freed.listen();
+            if let Some(held) = self.take_idle(values) {
+                return Ok(PoolLease::new(self, held));
+            }
+            if let Some(place) = self.reserve() {
+                return place.open(deadline).await;
+            }
+            if before(deadline, listener).await.is_err() {
+                return Err(ConnectionError::Connect(
+                    "all connections are in use".into(),
+                ));
+            }
+        }
+    }
+
+    fn take_idle(&self, values: &SessionValues) -> Option<PooledConnection> {
+        let mut state = self.state();
+        let same = state.idle.iter().rposition(|held| held.values == *values);
+        match same {
+            Some(index) => Some(state.idle.swap_remove(index)),
+            None => {
+                let latest =
+                    (0..state.idle.len()).max_by_key(|&index| state.idle[index].used_at)?;
+                Some(state.idle.swap_remove(latest))
+            }
+        }
+    }
+
+    fn reserve(self: &Arc<Self>) -> Option<PoolPlace> {
+        let mut state = self.state();
+        if state.open >= self.limit {
+            return None;
+        }
+        state.open += 1;
+        Some(PoolPlace {
+            pool: self.clone(),
+            is_held: true,
+        })
+    }
+
+    fn release_place(&self) {
+        self.state().open -= 1;
+        self.freed.notify(1);
+    }
+
+    fn put_back(&self, mut held: PooledConnection) {
+        held.used_at = Instant::now();
+        self.state().idle.push(held);
+        self.freed.notify(1);
+    }
+
+    /// Closes all idle connections, after one of them proved dead.
+    pub fn close_idle(&self) {
+        let mut state = self.state();
+        let closed = state.idle.len();
+        state.idle.clear();
+        state.open -= closed;
+        drop(state);
+        self.freed.notify(closed);
+    }
+}
+
+/// The right to one connection of a pool, open or not.
+#[derive(Debug)]
+struct PoolPlace {
+    pool: Arc<ConnectionPool>,
+    is_held: bool,
+}
+
+impl PoolPlace {
+    async fn open(mut self, deadline: Instant) -> Result<PoolLease, ConnectionError> {
+        let deadline = deadline.min(Instant::now() + CONNECT_TIME);
+        let pool = self.pool.clone();
+        let connection = DatabaseConnection::connect(pool.codec, &pool.instance, deadline).await?;
+        let held = PooledConnection {
+            connection,
+            values: SessionValues::default(),
+            prepared: HashMap::new(),
+            used_at: Instant::now(),
+        };
+        // The place goes over to the lease.
+        self.is_held = false;
+        Ok(PoolLease::new(&pool, held))
+    }
+}
+
+impl Drop for PoolPlace {
+    fn drop(&mut self) {
+        if self.is_held {
+            self.pool.release_place();
+        }
+    }
+}
+
+/// A connection in use. Dropped without [`PoolLease::settle`] it is closed,
+/// since an answer may be outstanding on it.
+#[derive(Debug)]
+pub struct PoolLease {
+    pool: Arc<ConnectionPool>,
+    held: Option<PooledConnection>,
+}
+
+impl PoolLease {
+    fn new(pool: &Arc<ConnectionPool>, held: PooledConnection) -> Self {
+        Self {
+            pool: pool.clone(),
+            held: Some(held),
+        }
+    }
+
+    /// The connection.
+    ///
+    /// # Panics
+    ///
+    /// Never: the connection is there until the lease is settled.
+    pub fn get(&mut self) -> &mut PooledConnection {
+        self.held.as_mut().expect("a lease holds its connection")
+    }
+
+    /// Gives the connection back, with no answer outstanding and no
+    /// transaction open.
+    pub fn settle(mut self) {
+        if let Some(held) = self.held.take() {
+            self.pool.put_back(held);
+        }
+    }
+}
+
+impl Drop for PoolLease {
+    fn drop(&mut self) {
+        if self.held.take().is_some() {
+            self.pool.release_place();
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/peers.rs
@@ -0,0 +1,59 @@
+//! Calls between hosts.
+
+pub mod pool;
+pub mod wire;
+
+use std::time::Duration;
+
+use fulmarrill_link::{LinkProtocol, LinkTiming};
+use fulmarrill_position::{DatabaseName, LogPoint, Term};
+
+use crate::catalogue::RunName;
+use crate::work::{WorkAnswer, WorkRequest};
+
+/// A quiet link is probed each second, which costs little, and given up after
+/// three lost probes. Calls have deadlines of their own.
+pub const LINK_TIMING: LinkTiming =
+    LinkTiming::new(Duration::from_secs(1), Duration::from_millis(3200));
+
+/// A call to another host.
+#[derive(Debug, Clone)]
+pub enum ProxyCall {
+    /// Runs work at an instance.
+    Run(Box<WorkRequest>),
+    /// Asks for a position that covers every commit acknowledged until now.
+    Position(DatabaseName),
+    /// Asks a run of the host to give a term up for good.
+    Release {
+        /// The database.
+        database: DatabaseName,
+        /// The term.
+        term: Term,
+        /// The run that holds it.
+        run: RunName,
+    },
+}
+
+/// The reply to a call.
+#[derive(Debug, Clone)]
+pub enum ProxyReply {
+    /// What became of the work.
+    Work(WorkAnswer),
+    /// A position, and how long before this reply it covered every commit. The
+    /// caller counts back from the moment at which it asked.
+    Position(Option<(Duration, LogPoint)>),
+    /// The term is given up, or the run that held it has ended.
+    Released,
+}
+
+/// Calls and replies between hosts.
+#[derive(Debug)]
+pub struct ProxyProtocol;
+
+impl LinkProtocol for ProxyProtocol {
+    const VERSION: u16 = 1;
+    type Call = ProxyCall;
+    type Reply = ProxyReply;
+    type WireCall = wire::WireCall;
+    type WireReply = wire::WireReply;
+}
--- /dev/null
+++ b/crates/proxy/src/peers/wire.rs
@@ -0,0 +1,257 @@
+//! Calls and replies as they go over a link.
+//!
+//! Moments go as milliseconds from the moment of sending, since clocks of
+//! hosts are not compared. Names are short: they travel with each statement,
+//! also between regions.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use fulmarrill_position::{DatabaseName, LogPoint, Term};
+use serde::{Deserialize, Serialize};
+
+use crate::catalogue::RunName;
+use crate::codec::ErrorKind;
+use crate::peers::{ProxyCall, ProxyReply};
+use crate::statement::PreparedShape;
+use crate::work::{NotRunReason, PinId, WorkAnswer, WorkRequest, WorkStatement, WorkStep};
+
+/// Longest time that is believed, so that no sum overflows.
+const TIME_MAX: Duration = Duration::from_hours(1);
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn from_millis(time: u64) -> Duration {
+    Duration::from_millis(time).min(TIME_MAX)
+}
+
+/// A position on the wire: term and number.
+type WirePoint = (u64, u64);
+
+fn to_wire(point: LogPoint) -> WirePoint {
+    (point.term, point.position)
+}
+
+fn from_wire(point: WirePoint) -> LogPoint {
+    LogPoint::new(point.0, point.1)
+}
+
+/// [`WorkStep`] on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+enum WireStep {
+    #[serde(rename = "s")]
+    Single,
+    #[serde(rename = "b")]
+    Begin(bool),
+    #[serde(rename = "c")]
+    Continue(PinId),
+}
+
+/// [`WorkStatement`] on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+enum WireStatement {
+    #[serde(rename = "t")]
+    Text(CompactString, bool, CompactString),
+    #[serde(rename = "p")]
+    Prepared(CompactString, bool, CompactString, CompactString),
+    #[serde(rename = "c")]
+    Commit(CompactString),
+    #[serde(rename = "r")]
+    Rollback,
+}
+
+/// [`WorkRequest`] on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct WireWork {
+    #[serde(rename = "d")]
+    database: DatabaseName,
+    #[serde(rename = "i")]
+    instance: CompactString,
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    lead: Option<Term>,
+    #[serde(rename = "r")]
+    rank: usize,
+    #[serde(rename = "w")]
+    time_left: u64,
+    #[serde(rename = "v", default, skip_serializing_if = "BTreeMap::is_empty")]
+    values: BTreeMap<CompactString, CompactString>,
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    after: Option<WirePoint>,
+    #[serde(rename = "s")]
+    step: WireStep,
+    #[serde(rename = "q")]
+    statement: WireStatement,
+}
+
+impl From<WorkRequest> for WireWork {
+    fn from(request: WorkRequest) -> Self {
+        Self {
+            database: request.database,
+            instance: request.instance,
+            lead: request.lead,
+            rank: request.rank,
+            time_left: millis(request.deadline.saturating_duration_since(Instant::now())),
+            values: Arc::unwrap_or_clone(request.values),
+            after: request.after.map(to_wire),
+            step: match request.step {
+                WorkStep::Single => WireStep::Single,
+                WorkStep::Begin { reads_only } => WireStep::Begin(reads_only),
+                WorkStep::Continue(pin) => WireStep::Continue(pin),
+            },
+            statement: match request.statement {
+                WorkStatement::Text { id, writes, text } => WireStatement::Text(id, writes, text),
+                WorkStatement::Prepared {
+                    id,
+                    shape,
+                    arguments,
+                } => WireStatement::Prepared(id, shape.writes, shape.text, arguments),
+                WorkStatement::Commit(id) => WireStatement::Commit(id),
+                WorkStatement::Rollback => WireStatement::Rollback,
+            },
+        }
+    }
+}
+
+impl From<WireWork> for WorkRequest {
+    fn from(wire: WireWork) -> Self {
+        Self {
+            database: wire.database,
+            instance: wire.instance,
+            lead: wire.lead,
+            rank: wire.rank,
+            deadline: Instant::now() + from_millis(wire.time_left),
+            values: Arc::new(wire.values),
+            after: wire.after.map(from_wire),
+            step: match wire.step {
+                WireStep::Single => WorkStep::Single,
+                WireStep::Begin(reads_only) => WorkStep::Begin { reads_only },
+                WireStep::Continue(pin) => WorkStep::Continue(pin),
+            },
+            statement: match wire.statement {
+                WireStatement::Text(id, writes, text) => WorkStatement::Text { id, writes, text },
+                WireStatement::Prepared(id, writes, text, arguments) => WorkStatement::Prepared {
+                    id,
+                    shape: PreparedShape { writes, text },
+                    arguments,
+                },
+                WireStatement::Commit(id) => WorkStatement::Commit(id),
+                WireStatement::Rollback => WorkStatement::Rollback,
+            },
+        }
+    }
+}
+
+/// [`ProxyCall`] on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum WireCall {
+    /// Work.
+    #[serde(rename = "w")]
+    Run(Box<WireWork>),
+    /// A question for a position.
+    #[serde(rename = "p")]
+    Position(DatabaseName),
+    /// A term to give up.
+    #[serde(rename = "r")]
+    Release(DatabaseName, Term, RunName),
+}
+
+impl From<ProxyCall> for WireCall {
+    fn from(call: ProxyCall) -> Self {
+        match call {
+            ProxyCall::Run(request) => Self::Run(Box::new((*request).into())),
+            ProxyCall::Position(database) => Self::Position(database),
+            ProxyCall::Release {
+                database,
+                term,
+                run,
+            } => Self::Release(database, term, run),
+        }
+    }
+}
+
+impl From<WireCall> for ProxyCall {
+    fn from(wire: WireCall) -> Self {
+        match wire {
+            WireCall::Run(request) => Self::Run(Box::new((*request).into())),
+            WireCall::Position(database) => Self::Position(database),
+            WireCall::Release(database, term, run) => Self::Release {
+                database,
+                term,
+                run,
+            },
+        }
+    }
+}
+
+/// [`ProxyReply`] on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum WireReply {
+    /// Rows, proof, position, transaction.
+    #[serde(rename = "s")]
+    Served(
+        Vec<CompactString>,
+        CompactString,
+        Option<WirePoint>,
+        Option<PinId>,
+    ),
+    /// A failure that the instance reported.
+    #[serde(rename = "f")]
+    Failed(ErrorKind, CompactString),
+    /// Work that did not run.
+    #[serde(rename = "n")]
+    NotRun(NotRunReason),
+    /// Work without a whole answer.
+    #[serde(rename = "u")]
+    Unknown,
+    /// A position and its age.
+    #[serde(rename = "p")]
+    Position(Option<(u64, WirePoint)>),
+    /// A term was given up.
+    #[serde(rename = "r")]
+    Released,
+}
+
+impl From<ProxyReply> for WireReply {
+    fn from(reply: ProxyReply) -> Self {
+        match reply {
+            ProxyReply::Work(WorkAnswer::Served {
+                rows,
+                proof,
+                point,
+                pin,
+            }) => Self::Served(rows, proof, point.map(to_wire), pin),
+            ProxyReply::Work(WorkAnswer::Failed { kind, text }) => Self::Failed(kind, text),
+            ProxyReply::Work(WorkAnswer::NotRun(reason)) => Self::NotRun(reason),
+            ProxyReply::Work(WorkAnswer::Unknown) => Self::Unknown,
+            ProxyReply::Position(known) => {
+                // Rounded up, so that the receiver believes no later moment.
+                Self::Position(known.map(|(age, point)| (millis(age) + 1, to_wire(point))))
+            }
+            ProxyReply::Released => Self::Released,
+        }
+    }
+}
+
+impl From<WireReply> for ProxyReply {
+    fn from(wire: WireReply) -> Self {
+        match wire {
+            WireReply::Served(rows, proof, point, pin) => Self::Work(WorkAnswer::Served {
+                rows,
+                proof,
+                point: point.map(from_wire),
+                pin,
+            }),
+            WireReply::Failed(kind, text) => Self::Work(WorkAnswer::Failed { kind, text }),
+            WireReply::NotRun(reason) => Self::Work(WorkAnswer::NotRun(reason)),
+            WireReply::Unknown => Self::Work(WorkAnswer::Unknown),
+            WireReply::Position(known) => {
+                Self::Position(known.map(|(age, point)| (from_millis(age), from_wire(point))))
+            }
+            WireReply::Released => Self::Released,
+        }
+    }
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -10,10 +10,10 @@
 use compact_str::CompactString;
 use event_listener::Event;
 use fulmarrill_http::{HttpAnswer, HttpClient, HttpRequest, Method, serve_http};
-use fulmarrill_ownership::HostEntry;
-use fulmarrill_platform::{
+use fulmarrill_objects::{
     HostList, ObjectKey, ObjectList, ObjectVersion, PutRequest, PutResult, StoredObject,
 };
+use fulmarrill_ownership::HostEntry;
 use fulmarrill_runtime::before;
 use serde::{Deserialize, Serialize};
 use smol::Timer;
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -22,6 +22,7 @@
 pub fn run(command: Command) -> Result<(), CommandError> {
     match command {
         Command::Serve { settings } => serve::run(&settings),
+        Command::Front => Ok(fulmarrill_platform::run_process(crate::logging::start)?),
         Command::Check { file } => check::run(&file),
         Command::Apply {
             host,
--- a/src/commands/export.rs
+++ b/src/commands/export.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::time::{Duration, Instant};
 
-use fulmarrill_platform::PlatformClient;
+use fulmarrill_objects::PlatformClient;
 use fulmarrill_records::{RecordSegment, verify_segments};
 
 use crate::error::CommandError;
--- a/src/error.rs
+++ b/src/error.rs
@@ -7,7 +7,7 @@
 use fulmarrill_host::HostError;
 use fulmarrill_http::HttpError;
 use fulmarrill_measure::MeasureError;
-use fulmarrill_platform::PlatformError;
+use fulmarrill_objects::PlatformError;
 use fulmarrill_standin::DatabaseError;
 use thiserror::Error;
 
@@ -60,6 +60,9 @@
     /// A host cannot start.
     #[error(transparent)]
     Host(#[from] HostError),
+    /// A host on the platform cannot start.
+    #[error(transparent)]
+    Process(#[from] fulmarrill_platform::ProcessError),
     /// A database stand-in cannot start.
     #[error(transparent)]
     Database(#[from] DatabaseError),
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -12,6 +12,8 @@
         /// Settings file.
         settings: PathBuf,
     },
+    /// Runs one host on the users' platform.
+    Front,
     /// Checks a file.
     Check {
         /// The file.
@@ -110,6 +112,14 @@
         .command("serve")
 }
 
+fn front() -> impl Parser<Command> {
+    bpaf::pure(Command::Front)
+        .to_options()
+        .descr("Runs one host on the users' platform")
+        .footer("Example: fulmarrill front\nThe platform names the settings file. Ends in order on SIGTERM.")
+        .command("front")
+}
+
 fn check() -> impl Parser<Command> {
     let file = positional("FILE").help("Operators' document or settings file");
     construct!(Command::Check { file })
@@ -249,11 +259,11 @@
 
 /// The parser of the whole command line.
 pub fn command() -> OptionParser<Command> {
-    let (serve, check, apply, status) = (serve(), check(), apply(), status());
+    let (serve, front, check, apply, status) = (serve(), front(), check(), apply(), status());
     let (state, export, replay) = (state(), export(), replay());
     let (standin, measure, demo) = (standin(), measure(), demo());
     construct!([
-        serve, check, apply, status, state, export, replay, standin, measure, demo
+        serve, front, check, apply, status, state, export, replay, standin, measure, demo
     ])
     .to_options()
     .descr("A database proxy with session consistency")
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -23,6 +23,8 @@
         .level(LevelFilter::Warn)
         .level_for("fulmarrill", level)
         .level_for("fulmarrill_host", level)
+        .level_for("fulmarrill_platform", level)
+        .level_for("fulmarrill_proxy", level)
         .level_for("fulmarrill_peer", level)
         .level_for("fulmarrill_standin", level)
         .level_for("fulmarrill_http", level)
--- a/tests/records.rs
+++ b/tests/records.rs
@@ -4,7 +4,7 @@
 
 use fulmarrill_fleet::LocalFleet;
 use fulmarrill_load::{LoadKind, LoadPlan, LoadStream, run_load};
-use fulmarrill_platform::ObjectKey;
+use fulmarrill_objects::ObjectKey;
 use serde_json::Value;
 
 use crate::util::{DATABASE, callers_of, run, small_layout, stderr, stdout, take_turn, wait_until};
--- a/tests/util.rs
+++ b/tests/util.rs
@@ -10,7 +10,7 @@
 use fulmarrill_fleet::{FleetLayout, LocalFleet};
 use fulmarrill_http::{HttpClient, Method};
 use fulmarrill_load::{CallerPool, LedgerFault, LoadPlan, RequestEnd};
-use fulmarrill_platform::{ObjectKey, PlatformClient};
+use fulmarrill_objects::{ObjectKey, PlatformClient};
 use fulmarrill_replication::{DatabaseGroup, GroupInstance};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
