--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -340,7 +340,7 @@
             holders.push(host.run.clone());
         }
         self.record.term = term;
-        self.record.primary = chosen.id.clone();
+        self.record.primary.clone_from(&chosen.id);
         self.record.holders = holders;
         self.record.changed_by = None;
         let as_of = BootTime::now();
--- a/crates/proxy/src/entry/reads.rs
+++ b/crates/proxy/src/entry/reads.rs
@@ -55,21 +55,18 @@
     // completeness as of a moment before that.
     let oldest = arrived_at.checked_sub(age)?;
     let known = context.entry.position_since(database, oldest);
-    let point = match known {
-        Some(point) => {
-            refresh_ahead(context, database, arrived_at.checked_sub(age / 2));
-            point
-        }
-        None => {
-            let until = deadline.min(arrived_at + QUESTION_TIME);
-            let (as_of, point) = before(until, ask_position(context, database))
-                .await
-                .ok()??;
-            if as_of < oldest {
-                return None;
-            }
-            point
+    let point = if let Some(point) = known {
+        refresh_ahead(context, database, arrived_at.checked_sub(age / 2));
+        point
+    } else {
+        let until = deadline.min(arrived_at + QUESTION_TIME);
+        // Boxed, since most reads ask nothing.
+        let asking = Box::pin(ask_position(context, database));
+        let (as_of, point) = before(until, asking).await.ok()??;
+        if as_of < oldest {
+            return None;
         }
+        point
     };
     Some(own.map_or(point, |own| own.max(point)))
 }
@@ -158,7 +155,7 @@
         let mut candidates = Vec::new();
         for instance in view.members(&request.database) {
             let leads = primary.is_some_and(|(primary, _)| primary.id == instance.id);
-            if (instance.leaving && !leads) || (at_primary && !leads) {
+            if !leads && (instance.leaving || at_primary) {
                 continue;
             }
             candidates.push(ReadCandidate {
--- a/crates/proxy/src/entry/router.rs
+++ b/crates/proxy/src/entry/router.rs
@@ -95,7 +95,8 @@
     let sent_at = Instant::now();
     context.entry.note_sent(&instance);
     let answer = if host == context.place.host {
-        context.owners.run(host, request).await
+        // Boxed, so that a session which waits for another host stays small.
+        Box::pin(context.owners.run(host, request)).await
     } else {
         let call = ProxyCall::Run(Box::new(request));
         match context.peers.call(address, call, deadline).await {
--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -111,8 +111,8 @@
         let Some(CallerMessage::Startup { endpoint, .. }) = self.read_message().await? else {
             return Ok(());
         };
-        if !self.find_endpoint(&endpoint).await {
-            self.reply(&CallerReply::Error(ErrorKind::NoDatabase, endpoint));
+        if let Err(kind) = self.find_endpoint(&endpoint).await {
+            self.reply(&CallerReply::Error(kind, endpoint));
             self.flush().await?;
             return Ok(());
         }
@@ -204,21 +204,19 @@
     }
 
     /// Looks an endpoint up, waiting for the first configuration if there is
-    /// none yet.
-    async fn find_endpoint(&mut self, name: &str) -> bool {
+    /// none yet. Without one nothing can be said about the endpoint.
+    async fn find_endpoint(&mut self, name: &str) -> Result<(), ErrorKind> {
         let deadline = Instant::now() + STARTUP_TIME;
         loop {
             let listener = self.context.view.listen();
             let view = self.context.view.load();
             if let Some(table) = &view.endpoints {
-                let Some(endpoint) = table.endpoints.get(name) else {
-                    return false;
-                };
+                let endpoint = table.endpoints.get(name).ok_or(ErrorKind::NoDatabase)?;
                 self.endpoint = Arc::new(endpoint.clone());
-                return true;
+                return Ok(());
             }
             if Instant::now() >= deadline {
-                return false;
+                return Err(ErrorKind::Busy);
             }
             self.context.view.wait(listener, deadline).await;
         }
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -175,11 +175,11 @@
                     self.health_mut().note_failure(Instant::now());
                 }
                 // Connections of an earlier owner are still counted.
-                Err(ConnectionError::Refused(ErrorKind::TooManyConnections, _)) => {
-                    if Instant::now() + FULL_WAIT < deadline {
-                        Timer::after(FULL_WAIT).await;
-                        continue;
-                    }
+                Err(ConnectionError::Refused(ErrorKind::TooManyConnections, _))
+                    if Instant::now() + FULL_WAIT < deadline =>
+                {
+                    Timer::after(FULL_WAIT).await;
+                    continue;
                 }
                 _ => {}
             }
--- a/crates/proxy/src/owner/pool.rs
+++ b/crates/proxy/src/owner/pool.rs
@@ -131,7 +131,8 @@
                 return Ok(PoolLease::new(self, held));
             }
             if let Some(place) = self.reserve() {
-                return place.open(deadline).await;
+                // Boxed, since few connections are opened and many are used.
+                return Box::pin(place.open(deadline)).await;
             }
             if before(deadline, listener).await.is_err() {
                 return Err(ConnectionError::Connect(
@@ -144,14 +145,9 @@
     fn take_idle(&self, values: &SessionValues) -> Option<PooledConnection> {
         let mut state = self.state();
         let same = state.idle.iter().rposition(|held| held.values == *values);
-        match same {
-            Some(index) => Some(state.idle.swap_remove(index)),
-            None => {
-                let latest =
-                    (0..state.idle.len()).max_by_key(|&index| state.idle[index].used_at)?;
-                Some(state.idle.swap_remove(latest))
-            }
-        }
+        let index =
+            same.or_else(|| (0..state.idle.len()).max_by_key(|&index| state.idle[index].used_at))?;
+        Some(state.idle.swap_remove(index))
     }
 
     fn reserve(self: &Arc<Self>) -> Option<PoolPlace> {
--- /dev/null
+++ b/crates/proxy/tests/control.rs
@@ -0,0 +1,254 @@
+//! Control as plain data: holders, leases and reasons to change a primary.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use fulmarrill_proxy::catalogue::{
+    DatabaseLimits, EndpointTable, HostEntry, InstanceEntry, TermRecord,
+};
+use fulmarrill_proxy::clock::BootTime;
+use fulmarrill_proxy::codec::DatabaseRole;
+use fulmarrill_proxy::control::{
+    ChangeReason, ControlAction, ControlEvent, ControlState, LEASE_TIME,
+};
+
+const OWN_RUN: &str = "h1~1";
+
+fn host(name: &str, run: &str) -> HostEntry {
+    HostEntry {
+        name: name.into(),
+        run: run.into(),
+        address: "127.0.0.1:1".into(),
+        data_centre: "north-1".into(),
+        region: "north".into(),
+    }
+}
+
+fn instance(id: &str, role: DatabaseRole) -> InstanceEntry {
+    InstanceEntry {
+        id: id.into(),
+        database: "orders".into(),
+        address: "127.0.0.1:1".into(),
+        data_centre: "north-1".into(),
+        slots: 2,
+        leaving: false,
+        role,
+        started_ms: 1,
+    }
+}
+
+fn record(holders: &[&str]) -> TermRecord {
+    TermRecord {
+        database: "orders".into(),
+        term: 3,
+        primary: "a".into(),
+        fence: 1,
+        holders: holders.iter().map(|run| (*run).into()).collect(),
+        changed_by: None,
+    }
+}
+
+/// A host that knows one database with two instances, and no term yet.
+fn state(now: Instant) -> ControlState {
+    let regions = BTreeMap::from([("north-1".into(), "north".into())]);
+    let mut state = ControlState::new(host("h1", OWN_RUN), regions);
+    let limits = DatabaseLimits { connections: 16 };
+    state.handle(
+        now,
+        ControlEvent::Endpoints(EndpointTable {
+            version: 7,
+            endpoints: BTreeMap::new(),
+            databases: BTreeMap::from([("orders".into(), limits)]),
+            transaction_idle_time: Duration::from_secs(3),
+        }),
+    );
+    state.handle(now, ControlEvent::Hosts(vec![host("h1", OWN_RUN)]));
+    state.handle(now, ControlEvent::Instances(both()));
+    state
+}
+
+fn both() -> Vec<InstanceEntry> {
+    vec![
+        instance("a", DatabaseRole::Primary),
+        instance("b", DatabaseRole::Replica),
+    ]
+}
+
+fn with_term(now: Instant, record: TermRecord) -> (ControlState, BootTime) {
+    let mut state = state(now);
+    let as_of = BootTime::now();
+    let records = vec![(record, 5)];
+    state.handle(now, ControlEvent::Terms { as_of, records });
+    (state, as_of)
+}
+
+#[test]
+fn first_term_is_taken_from_the_primary_itself() {
+    let now = Instant::now();
+    let mut state = state(now);
+    let as_of = BootTime::now();
+    let records = Vec::new();
+    state.handle(now, ControlEvent::Terms { as_of, records });
+    assert_eq!(state.plan(now), [ControlAction::AskTerm("a".into())]);
+    let instance = "a".into();
+    state.handle(now, ControlEvent::Leads { instance, term: 3 });
+    let mut first = record(&[OWN_RUN]);
+    first.fence = 0;
+    let expected = ControlAction::WriteTerm {
+        record: first,
+        if_version: 0,
+    };
+    assert_eq!(state.plan(now), [expected]);
+}
+
+#[test]
+fn nothing_is_written_before_the_store_was_read() {
+    let now = Instant::now();
+    assert_eq!(state(now).plan(now), []);
+}
+
+#[test]
+fn host_in_line_joins_the_holders_and_drops_runs_that_ended() {
+    let now = Instant::now();
+    let (mut state, _) = with_term(now, record(&["h1~0"]));
+    let expected = ControlAction::WriteTerm {
+        record: record(&[OWN_RUN]),
+        if_version: 5,
+    };
+    assert_eq!(state.plan(now), [expected]);
+}
+
+#[test]
+fn lease_counts_from_the_question_and_ends() {
+    let now = Instant::now();
+    let (state, as_of) = with_term(now, record(&[OWN_RUN]));
+    let view = state.view();
+    let term = &view.terms["orders"];
+    assert!(term.may_use(3, as_of));
+    assert!(!term.may_use(4, as_of));
+    assert!(!term.may_use(3, as_of.after(LEASE_TIME)));
+}
+
+#[test]
+fn host_that_is_no_holder_may_not_use_the_primary() {
+    let now = Instant::now();
+    let (state, as_of) = with_term(now, record(&["h2~1"]));
+    assert!(!state.view().terms["orders"].may_use(3, as_of));
+}
+
+#[test]
+fn nobody_may_use_a_primary_while_its_term_is_changed() {
+    let now = Instant::now();
+    let mut changing = record(&[OWN_RUN]);
+    changing.changed_by = Some("h2~1".into());
+    let (state, as_of) = with_term(now, changing);
+    assert!(!state.view().terms["orders"].may_use(3, as_of));
+    assert!(state.view().primary("orders").is_none());
+}
+
+#[test]
+fn released_term_is_not_taken_up_again() {
+    let now = Instant::now();
+    let (mut state, as_of) = with_term(now, record(&[OWN_RUN]));
+    assert!(state.release(&"orders".into(), 3, &OWN_RUN.into()));
+    assert!(!state.view().terms["orders"].may_use(3, as_of));
+    // The record that is read again still names this run.
+    let records = vec![(record(&[OWN_RUN]), 6)];
+    state.handle(now, ControlEvent::Terms { as_of, records });
+    assert!(!state.view().terms["orders"].may_use(3, as_of));
+    assert_eq!(state.plan(now), []);
+}
+
+#[test]
+fn another_run_of_the_host_holds_nothing_of_this_one() {
+    let now = Instant::now();
+    let (mut state, as_of) = with_term(now, record(&[OWN_RUN]));
+    assert!(!state.release(&"orders".into(), 3, &"h1~0".into()));
+    assert!(state.view().terms["orders"].may_use(3, as_of));
+}
+
+#[test]
+fn older_record_does_not_replace_a_newer_one() {
+    let now = Instant::now();
+    let (mut state, as_of) = with_term(now, record(&[OWN_RUN]));
+    let mut older = record(&[OWN_RUN]);
+    older.term = 2;
+    let records = vec![(older, 4)];
+    state.handle(now, ControlEvent::Terms { as_of, records });
+    assert_eq!(state.view().terms["orders"].record.term, 3);
+}
+
+#[test]
+fn leaving_primary_is_replaced_at_once() {
+    let now = Instant::now();
+    let (mut state, _) = with_term(now, record(&[OWN_RUN]));
+    let mut list = both();
+    list[0].leaving = true;
+    state.handle(now, ControlEvent::Instances(list));
+    let expected = ControlAction::ChangePrimary {
+        database: "orders".into(),
+        version: 5,
+        reason: ChangeReason::Leaving,
+    };
+    assert_eq!(state.plan(now), [expected]);
+}
+
+#[test]
+fn primary_whose_entry_lapsed_is_kept_until_it_had_time_to_return() {
+    let now = Instant::now();
+    let (mut state, _) = with_term(now, record(&[OWN_RUN]));
+    state.handle(now, ControlEvent::Instances(vec![both().remove(1)]));
+    assert_eq!(state.plan(now), []);
+    assert!(state.view().primary("orders").is_some());
+    let later = now + Duration::from_secs(3);
+    let planned = state.plan(later);
+    assert!(matches!(
+        planned[..],
+        [ControlAction::ChangePrimary {
+            reason: ChangeReason::Gone,
+            ..
+        }]
+    ));
+    state.handle(later, ControlEvent::Instances(both()));
+    assert_eq!(state.plan(later), []);
+}
+
+#[test]
+fn change_of_a_run_that_ended_is_taken_over() {
+    let now = Instant::now();
+    let mut changing = record(&[OWN_RUN]);
+    changing.changed_by = Some("h2~1".into());
+    let (mut state, _) = with_term(now, changing);
+    assert!(matches!(
+        state.plan(now)[..],
+        [ControlAction::ChangePrimary {
+            reason: ChangeReason::Abandoned,
+            ..
+        }]
+    ));
+}
+
+#[test]
+fn change_of_a_live_run_is_left_to_it() {
+    let now = Instant::now();
+    let mut changing = record(&[OWN_RUN]);
+    changing.changed_by = Some(OWN_RUN.into());
+    let (mut state, _) = with_term(now, changing);
+    assert_eq!(state.plan(now), []);
+}
+
+#[test]
+fn configuration_never_goes_back() {
+    let now = Instant::now();
+    let mut state = state(now);
+    state.handle(
+        now,
+        ControlEvent::Endpoints(EndpointTable {
+            version: 6,
+            endpoints: BTreeMap::new(),
+            databases: BTreeMap::new(),
+            transaction_idle_time: Duration::ZERO,
+        }),
+    );
+    assert_eq!(state.view().endpoints.unwrap().version, 7);
+}
--- /dev/null
+++ b/crates/proxy/tests/placement.rs
@@ -0,0 +1,123 @@
+//! Where reads go: each case names the load pattern that it answers.
+
+use std::time::{Duration, Instant};
+
+use fulmarrill_proxy::catalogue::InstanceEntry;
+use fulmarrill_proxy::codec::DatabaseRole;
+use fulmarrill_proxy::entry::placement::{
+    EntryPlace, InstanceSight, ReadCandidate, choose_instance,
+};
+use rstest::rstest;
+
+const PLACE: EntryPlace<'_> = EntryPlace {
+    data_centre: "north-1",
+    region: "north",
+};
+
+fn instance(id: &str, data_centre: &str, role: DatabaseRole) -> InstanceEntry {
+    InstanceEntry {
+        id: id.into(),
+        database: "orders".into(),
+        address: "127.0.0.1:1".into(),
+        data_centre: data_centre.into(),
+        slots: 2,
+        leaving: false,
+        role,
+        started_ms: 1,
+    }
+}
+
+fn busy(outstanding: u32) -> InstanceSight {
+    InstanceSight {
+        outstanding,
+        ..InstanceSight::default()
+    }
+}
+
+#[rstest]
+#[case::calm_day_stays_in_the_own_data_centre(0, 0, "near")]
+#[case::short_queue_moves_to_the_neighbour(3, 0, "next")]
+#[case::queue_everywhere_moves_to_the_other_region(20, 20, "far")]
+fn read_goes_where_it_is_answered_first(
+    #[case] near: u32,
+    #[case] next: u32,
+    #[case] expected: &str,
+) {
+    let instances = [
+        instance("near", "north-1", DatabaseRole::Replica),
+        instance("next", "north-2", DatabaseRole::Replica),
+        instance("far", "south-1", DatabaseRole::Replica),
+    ];
+    let candidates = [
+        ReadCandidate {
+            instance: &instances[0],
+            region: Some("north"),
+            sight: busy(near),
+        },
+        ReadCandidate {
+            instance: &instances[1],
+            region: Some("north"),
+            sight: busy(next),
+        },
+        ReadCandidate {
+            instance: &instances[2],
+            region: Some("south"),
+            sight: busy(0),
+        },
+    ];
+    let chosen = choose_instance(&candidates, PLACE, Instant::now()).unwrap();
+    assert_eq!(chosen.id, expected);
+}
+
+#[test]
+fn primary_is_spared_while_a_replica_is_free() {
+    let instances = [
+        instance("primary", "north-1", DatabaseRole::Primary),
+        instance("replica", "north-2", DatabaseRole::Replica),
+    ];
+    let candidates = [
+        ReadCandidate {
+            instance: &instances[0],
+            region: Some("north"),
+            sight: busy(0),
+        },
+        ReadCandidate {
+            instance: &instances[1],
+            region: Some("north"),
+            sight: busy(0),
+        },
+    ];
+    let chosen = choose_instance(&candidates, PLACE, Instant::now()).unwrap();
+    assert_eq!(chosen.id, "replica");
+}
+
+#[test]
+fn instance_that_was_behind_is_taken_only_if_there_is_no_other() {
+    let now = Instant::now();
+    let instances = [
+        instance("behind", "north-1", DatabaseRole::Replica),
+        instance("far", "south-1", DatabaseRole::Replica),
+    ];
+    let mut sight = busy(0);
+    sight.avoid_until = Some(now + Duration::from_millis(100));
+    let behind = ReadCandidate {
+        instance: &instances[0],
+        region: Some("north"),
+        sight,
+    };
+    let far = ReadCandidate {
+        instance: &instances[1],
+        region: Some("south"),
+        sight: busy(0),
+    };
+    assert_eq!(
+        choose_instance(&[behind, far], PLACE, now).unwrap().id,
+        "far"
+    );
+    assert_eq!(choose_instance(&[behind], PLACE, now).unwrap().id, "behind");
+    let later = now + Duration::from_millis(100);
+    assert_eq!(
+        choose_instance(&[behind, far], PLACE, later).unwrap().id,
+        "behind"
+    );
+}
