--- a/crates/proxy/src/catalogue.rs
+++ b/crates/proxy/src/catalogue.rs
@@ -22,7 +22,7 @@
 pub type ObjectVersion = u64;
 
 /// How fresh the data of an endpoint's reads must be.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ReadFreshness {
     /// Every acknowledged commit.
     Latest,
@@ -33,7 +33,7 @@
 }
 
 /// An endpoint: a name under which callers reach a database.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointEntry {
     /// Name.
     pub name: EndpointName,
@@ -48,14 +48,14 @@
 }
 
 /// Limits of one database.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DatabaseLimits {
     /// Connections that each of its instances accepts from everybody.
     pub connections: usize,
 }
 
 /// One version of the operators' configuration.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointTable {
     /// Version; later versions are higher.
     pub version: u64,
@@ -68,7 +68,7 @@
 }
 
 /// One instance, as it describes itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceEntry {
     /// Identity.
     pub id: InstanceId,
--- a/crates/proxy/src/clock.rs
+++ b/crates/proxy/src/clock.rs
@@ -33,6 +33,14 @@
         }
     }
 
+    /// The moment `span` before this one, or the start of the clock.
+    #[must_use]
+    pub fn before(self, span: Duration) -> Self {
+        Self {
+            since_boot: self.since_boot.saturating_sub(span),
+        }
+    }
+
     /// Time from `earlier` to this moment, zero if that lies in the future.
     #[must_use]
     pub fn since(self, earlier: Self) -> Duration {
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
 
 use compact_str::CompactString;
 use event_listener::Event;
@@ -12,6 +13,7 @@
 use crate::entry::EntryState;
 use crate::owner::OwnerTable;
 use crate::peers::pool::PeerPool;
+use crate::relay::StoreSight;
 use crate::view::ViewCell;
 
 /// Where a host stands and what it is called.
@@ -46,6 +48,8 @@
     pub owners: OwnerTable,
     /// What the entry knows.
     pub entry: EntryState,
+    /// When the store was heard of last.
+    pub store: StoreSight,
     leaving: AtomicBool,
     closing: AtomicBool,
     closes: Event,
@@ -68,6 +72,7 @@
             peers: PeerPool::new(&place.host),
             owners: OwnerTable::new(databases, view.clone()),
             entry: EntryState::new(),
+            store: StoreSight::new(Instant::now()),
             leaving: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             closes: Event::new(),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod owner;
 pub mod peers;
 pub mod port;
+pub mod relay;
 pub mod server;
 pub mod statement;
 pub mod view;
--- a/crates/proxy/src/owner/connection.rs
+++ b/crates/proxy/src/owner/connection.rs
@@ -102,6 +102,8 @@
             Ok(connection)
         };
         match before(deadline, setup).await {
+            // Nothing was sent yet that an instance could have run.
+            Ok(Err(ConnectionError::Lost(why))) => Err(ConnectionError::Connect(why)),
             Ok(result) => result,
             Err(_) => Err(ConnectionError::Connect("no answer in time".into())),
         }
--- a/crates/proxy/src/owner/pool.rs
+++ b/crates/proxy/src/owner/pool.rs
@@ -184,10 +184,7 @@
     pub async fn probe(&self) -> bool {
         let deadline = Instant::now() + PROBE_TIME;
         let connecting = DatabaseConnection::connect(self.codec, &self.instance, deadline);
-        !matches!(
-            connecting.await,
-            Err(ConnectionError::Connect(_) | ConnectionError::Lost(_))
-        )
+        !matches!(connecting.await, Err(ConnectionError::Connect(_)))
     }
 
     /// Closes connections as soon as they are free.
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -9,6 +9,7 @@
 use fulmarrill_position::{DatabaseName, LogPoint, Term};
 
 use crate::catalogue::{InstanceId, RunName};
+use crate::relay::HostKnowledge;
 use crate::work::{WorkAnswer, WorkRequest};
 
 /// A quiet link is probed each second, which costs little, and given up after
@@ -23,6 +24,9 @@
     Run(Box<WorkRequest>),
     /// Asks for a position that covers every commit acknowledged until now.
     Position(DatabaseName),
+    /// Asks for what the host knows of the store, by a host that has this
+    /// version of the configuration.
+    Learn(u64),
     /// Asks whether the host reaches an instance.
     Reach(InstanceId),
     /// Asks a run of the host to give a term up for good.
@@ -44,6 +48,8 @@
     /// A position, and how long before this reply it covered every commit. The
     /// caller counts back from the moment at which it asked.
     Position(Option<(Duration, LogPoint)>),
+    /// What the host knows.
+    Knowledge(Box<HostKnowledge>),
     /// Whether the host reaches the instance.
     Reaches(bool),
     /// The term is given up, or the run that held it has ended.
--- a/crates/proxy/src/peers/wire.rs
+++ b/crates/proxy/src/peers/wire.rs
@@ -15,6 +15,7 @@
 use crate::catalogue::RunName;
 use crate::codec::ErrorKind;
 use crate::peers::{ProxyCall, ProxyReply};
+use crate::relay::HostKnowledge;
 use crate::statement::PreparedShape;
 use crate::work::{NotRunReason, PinId, WorkAnswer, WorkRequest, WorkStatement, WorkStep};
 
@@ -154,6 +155,9 @@
     /// A question for a position.
     #[serde(rename = "p")]
     Position(DatabaseName),
+    /// A question for what the host knows.
+    #[serde(rename = "k")]
+    Learn(u64),
     /// An instance to reach.
     #[serde(rename = "h")]
     Reach(CompactString),
@@ -168,6 +172,7 @@
             ProxyCall::Run(request) => Self::Run(Box::new((*request).into())),
             ProxyCall::Position(database) => Self::Position(database),
             ProxyCall::Reach(instance) => Self::Reach(instance),
+            ProxyCall::Learn(version) => Self::Learn(version),
             ProxyCall::Release {
                 database,
                 term,
@@ -183,6 +188,7 @@
             WireCall::Run(request) => Self::Run(Box::new((*request).into())),
             WireCall::Position(database) => Self::Position(database),
             WireCall::Reach(instance) => Self::Reach(instance),
+            WireCall::Learn(version) => Self::Learn(version),
             WireCall::Release(database, term, run) => Self::Release {
                 database,
                 term,
@@ -215,6 +221,9 @@
     /// A position and its age.
     #[serde(rename = "p")]
     Position(Option<(u64, WirePoint)>),
+    /// What the host knows.
+    #[serde(rename = "k")]
+    Knowledge(Box<HostKnowledge>),
     /// Whether an instance is reached.
     #[serde(rename = "h")]
     Reaches(bool),
@@ -239,6 +248,7 @@
                 // Rounded up, so that the receiver believes no later moment.
                 Self::Position(known.map(|(age, point)| (millis(age) + 1, to_wire(point))))
             }
+            ProxyReply::Knowledge(knowledge) => Self::Knowledge(knowledge),
             ProxyReply::Reaches(reaches) => Self::Reaches(reaches),
             ProxyReply::Released => Self::Released,
         }
@@ -260,6 +270,7 @@
             WireReply::Position(known) => {
                 Self::Position(known.map(|(age, point)| (from_millis(age), from_wire(point))))
             }
+            WireReply::Knowledge(knowledge) => Self::Knowledge(knowledge),
             WireReply::Reaches(reaches) => Self::Reaches(reaches),
             WireReply::Released => Self::Released,
         }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -16,6 +16,7 @@
 use crate::control::{ControlAction, ControlEvent, ControlState};
 use crate::entry::session::serve_caller;
 use crate::peers::{LINK_TIMING, ProxyCall, ProxyProtocol, ProxyReply};
+use crate::relay::{HostKnowledge, run_relay};
 
 /// Time between two rounds of upkeep; idle transactions end that much late.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
@@ -172,6 +173,9 @@
             let known = context.owners.primary_position(&database).await;
             ProxyReply::Position(known.map(|(as_of, point)| (as_of.elapsed(), point)))
         }
+        ProxyCall::Learn(version) => {
+            ProxyReply::Knowledge(Box::new(HostKnowledge::of(context, version)))
+        }
         ProxyCall::Reach(instance) => ProxyReply::Reaches(context.owners.reaches(&instance).await),
         ProxyCall::Release {
             database,
@@ -223,17 +227,20 @@
     }
 }
 
-/// Starts the tasks of a host.
+/// Starts the tasks of a host. `seeds` are addresses of other hosts, to ask
+/// while the store does not answer.
 #[must_use]
 pub fn start_traffic(
     context: &SharedContext,
     callers: TcpListener,
     peers: TcpListener,
     control: ControlSender,
+    seeds: Vec<CompactString>,
 ) -> Vec<Task<()>> {
     vec![
         fulmarrill_runtime::spawn(accept_callers(context.clone(), callers)),
         fulmarrill_runtime::spawn(answer_peers(context.clone(), peers, control.clone())),
-        fulmarrill_runtime::spawn(run_upkeep(context.clone(), control)),
+        fulmarrill_runtime::spawn(run_upkeep(context.clone(), control.clone())),
+        fulmarrill_runtime::spawn(run_relay(context.clone(), control, seeds)),
     ]
 }
