One watcher of the store per data centre; the others follow it

Ruled out: short waits on every host, which cost a call for each host and kind and grow with the fleet. Conclusion: calls no longer grow with the hosts.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -17,7 +17,7 @@
 };
 use crate::clock::BootTime;
 use crate::codec::DatabaseRole;
-use crate::view::{TermView, TrafficView};
+use crate::view::{TermView, TrafficView, ViewDigests, digest_of};
 
 /// Time for which a host may use a primary after it asked the store for the
 /// term. An outage of the store that is shorter by the time of one watch does
@@ -54,6 +54,13 @@
         /// Records with their versions.
         records: Vec<(TermRecord, ObjectVersion)>,
     },
+    /// The store still had the term records of this digest as of a moment.
+    TermsStand {
+        /// When the store was asked.
+        as_of: BootTime,
+        /// Digest of the records.
+        digest: u64,
+    },
     /// One term record was written.
     Term {
         /// When the write was sent.
@@ -122,6 +129,10 @@
     hosts: Arc<BTreeMap<HostName, HostEntry>>,
     terms: BTreeMap<DatabaseName, TermView>,
     leads: BTreeMap<InstanceId, Term>,
+    terms_as_of: Option<BootTime>,
+    listed: Arc<Vec<InstanceEntry>>,
+    listed_hosts: Arc<Vec<HostEntry>>,
+    digests: ViewDigests,
     terms_read: bool,
     hosts_read: bool,
     released: BTreeMap<DatabaseName, Term>,
@@ -147,6 +158,10 @@
             hosts: Arc::new(hosts),
             terms: BTreeMap::new(),
             leads: BTreeMap::new(),
+            terms_as_of: None,
+            listed: Arc::default(),
+            listed_hosts: Arc::default(),
+            digests: ViewDigests::default(),
             terms_read: false,
             hosts_read: false,
             released: BTreeMap::new(),
@@ -165,6 +180,10 @@
             instances: self.instances.clone(),
             hosts: self.hosts.clone(),
             terms: Arc::new(self.terms.clone()),
+            terms_as_of: self.terms_as_of,
+            listed: self.listed.clone(),
+            listed_hosts: self.listed_hosts.clone(),
+            digests: self.digests,
         }
     }
 
@@ -184,6 +203,8 @@
             ControlEvent::Instances(list) => self.take_instances(now, list),
             ControlEvent::Hosts(list) => {
                 self.hosts_read = true;
+                self.digests.hosts = digest_of(&list);
+                self.listed_hosts = Arc::new(list.clone());
                 let mut hosts = BTreeMap::new();
                 for entry in list {
                     hosts.insert(entry.name.clone(), entry);
@@ -204,12 +225,22 @@
                 for (record, version) in records {
                     self.take_term(as_of, record, version);
                 }
+                self.terms_as_of = self.terms_as_of.max(Some(as_of));
+                self.digests.terms = self.digest_terms();
+            }
+            ControlEvent::TermsStand { as_of, digest } => {
+                if digest == self.digests.terms {
+                    self.extend_leases(as_of);
+                }
             }
             ControlEvent::Term {
                 as_of,
                 record,
                 version,
-            } => self.take_term(as_of, record, version),
+            } => {
+                self.take_term(as_of, record, version);
+                self.digests.terms = self.digest_terms();
+            }
             ControlEvent::Leads { instance, term } => {
                 self.leads.insert(instance, term);
             }
@@ -220,6 +251,8 @@
     /// entries lapse while the store is away, and the primary is needed until
     /// another one leads.
     fn take_instances(&mut self, now: Instant, list: Vec<InstanceEntry>) {
+        self.digests.instances = digest_of(&list);
+        self.listed = Arc::new(list.clone());
         let mut instances = BTreeMap::new();
         for entry in list {
             self.missing.remove(&entry.id);
@@ -240,6 +273,23 @@
         self.instances = Arc::new(instances);
     }
 
+    fn digest_terms(&self) -> u64 {
+        let terms: Vec<_> = self
+            .terms
+            .values()
+            .map(|term| (&term.record.database, term.version))
+            .collect();
+        digest_of(&terms)
+    }
+
+    fn extend_leases(&mut self, as_of: BootTime) {
+        let lease_until = as_of.after(LEASE_TIME);
+        for term in self.terms.values_mut() {
+            term.lease_until = term.lease_until.max(lease_until);
+        }
+        self.terms_as_of = self.terms_as_of.max(Some(as_of));
+    }
+
     fn leads_a_term(&self, id: &InstanceId) -> bool {
         self.terms.values().any(|term| term.record.primary == *id)
     }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -9,7 +9,7 @@
 use fulmarrill_position::{DatabaseName, LogPoint, Term};
 
 use crate::catalogue::{InstanceId, RunName};
-use crate::relay::HostKnowledge;
+use crate::relay::{HostKnowledge, LearnQuestion};
 use crate::work::{WorkAnswer, WorkRequest};
 
 /// A quiet link is probed each second, which costs little, and given up after
@@ -24,9 +24,8 @@
     Run(Box<WorkRequest>),
     /// Asks for a position that covers every commit acknowledged until now.
     Position(DatabaseName),
-    /// Asks for what the host knows of the store, by a host that has this
-    /// version of the configuration.
-    Learn(u64),
+    /// Asks for what the host knows of the store.
+    Learn(LearnQuestion),
     /// Asks whether the host reaches an instance.
     Reach(InstanceId),
     /// Asks a run of the host to give a term up for good.
--- a/crates/proxy/src/peers/wire.rs
+++ b/crates/proxy/src/peers/wire.rs
@@ -15,7 +15,7 @@
 use crate::catalogue::RunName;
 use crate::codec::ErrorKind;
 use crate::peers::{ProxyCall, ProxyReply};
-use crate::relay::HostKnowledge;
+use crate::relay::{HostKnowledge, LearnQuestion};
 use crate::statement::PreparedShape;
 use crate::work::{NotRunReason, PinId, WorkAnswer, WorkRequest, WorkStatement, WorkStep};
 
@@ -157,7 +157,7 @@
     Position(DatabaseName),
     /// A question for what the host knows.
     #[serde(rename = "k")]
-    Learn(u64),
+    Learn(LearnQuestion),
     /// An instance to reach.
     #[serde(rename = "h")]
     Reach(CompactString),
@@ -172,7 +172,7 @@
             ProxyCall::Run(request) => Self::Run(Box::new((*request).into())),
             ProxyCall::Position(database) => Self::Position(database),
             ProxyCall::Reach(instance) => Self::Reach(instance),
-            ProxyCall::Learn(version) => Self::Learn(version),
+            ProxyCall::Learn(question) => Self::Learn(question),
             ProxyCall::Release {
                 database,
                 term,
@@ -188,7 +188,7 @@
             WireCall::Run(request) => Self::Run(Box::new((*request).into())),
             WireCall::Position(database) => Self::Position(database),
             WireCall::Reach(instance) => Self::Reach(instance),
-            WireCall::Learn(version) => Self::Learn(version),
+            WireCall::Learn(question) => Self::Learn(question),
             WireCall::Release(database, term, run) => Self::Release {
                 database,
                 term,
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -1,118 +1,161 @@
-//! What hosts learn from each other while the store does not answer them.
+//! What hosts learn from each other, so that few of them ask the store.
 //!
-//! A host whose watch over terms is overdue asks other hosts for what they
-//! know. Leases may be passed on, since they count from a question to the
-//! store, whoever asked it.
+//! In each data centre the hosts stand in line. The first one watches the store;
+//! the others follow a host before them by a question that waits for news. A
+//! host that hears nothing current from those before it watches by itself, and
+//! one that the store does not answer asks any host.
+//!
+//! Leases may be passed on: they count from a question to the store, whoever
+//! asked it.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use event_listener::Event;
+use fulmarrill_ownership::rank_hosts;
 use serde::{Deserialize, Serialize};
 use smol::Timer;
 
 use crate::catalogue::{EndpointTable, HostEntry, InstanceEntry, ObjectVersion, TermRecord};
 use crate::clock::BootTime;
 use crate::context::SharedContext;
-use crate::control::{ControlEvent, LEASE_TIME};
+use crate::control::ControlEvent;
 use crate::peers::{ProxyCall, ProxyReply};
 use crate::server::{ControlMessage, ControlSender};
+use crate::view::{TrafficView, ViewDigests};
 
-/// Age of the last answer of the store after which other hosts are asked. The
-/// watch over terms is answered each 2.5 seconds.
-const OVERDUE_TIME: Duration = Duration::from_millis(3300);
-/// The same for a host that has just started.
+/// Age of the last answer of the store after which it counts as away. The watch
+/// over terms is answered each 2.5 seconds.
+const OVERDUE_TIME: Duration = Duration::from_millis(3700);
+/// Time that a host which has just started gives the store.
 const START_TIME: Duration = Duration::from_millis(600);
-/// Time between two questions.
-const ASK_INTERVAL: Duration = Duration::from_millis(700);
-/// Time for one question.
-const ASK_TIME: Duration = Duration::from_millis(600);
+/// Time between two rounds of a host that has nobody to follow.
+const ROUND_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest wait of a question for news. Leases are as much older.
+const FOLLOW_TIME: Duration = Duration::from_secs(1);
+/// Least time between two questions: two hosts may differ for a moment.
+const FOLLOW_INTERVAL: Duration = Duration::from_millis(30);
+/// Time beyond its wait within which a question must be answered.
+const FOLLOW_SLACK: Duration = Duration::from_millis(500);
+/// Hosts before it in line that a host tries to follow.
+const LEADERS_MAX: usize = 2;
+/// What the line of a data centre is drawn by.
+const LINE_KEY: &str = "watch";
 
-/// A term record with its version and what is left of the lease.
+/// A question for news.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct RelayedTerm {
-    /// The record.
-    pub record: TermRecord,
-    /// Its version.
-    pub version: ObjectVersion,
-    /// Time left when the reply was made.
-    pub time_left: Duration,
+pub struct LearnQuestion {
+    /// Version of the configuration that the asking host has.
+    pub version: u64,
+    /// What else it has.
+    pub digests: ViewDigests,
+    /// How long the answer may wait for news, in milliseconds.
+    pub wait_ms: u64,
 }
 
-/// Everything that a host knows of the store.
+/// What a host knows of the store, less what the asking host has.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct HostKnowledge {
-    /// Whether the store answers the host that says this.
+    /// Whether the store itself answers the host that says this.
     pub is_current: bool,
-    /// Configuration, if newer than the one that the asking host has.
+    /// Configuration.
     pub endpoints: Option<EndpointTable>,
     /// Instances.
-    pub instances: Vec<InstanceEntry>,
+    pub instances: Option<Vec<InstanceEntry>>,
     /// Hosts.
-    pub hosts: Vec<HostEntry>,
-    /// Terms.
-    pub terms: Vec<RelayedTerm>,
+    pub hosts: Option<Vec<HostEntry>>,
+    /// Terms with their versions.
+    pub terms: Option<Vec<(TermRecord, ObjectVersion)>>,
+    /// Time since the store was asked for the terms, when this was said.
+    pub terms_age: Option<Duration>,
 }
 
 impl HostKnowledge {
-    /// What this host knows, for one that has configuration `version`.
-    #[must_use]
-    pub fn of(context: &SharedContext, version: u64) -> Self {
-        let view = context.view.load();
+    /// What this host knows.
+    fn of(context: &SharedContext, view: &TrafficView, question: &LearnQuestion) -> Self {
+        let (held, own) = (&question.digests, &view.digests);
         let endpoints = view.endpoints.as_deref();
-        let now = BootTime::now();
-        let mut terms = Vec::new();
-        for term in view.terms.values() {
-            terms.push(RelayedTerm {
-                record: term.record.clone(),
-                version: term.version,
-                time_left: term.lease_until.since(now),
-            });
-        }
+        let terms = view.terms.values();
         Self {
             is_current: !context.store.is_overdue(Instant::now()),
-            endpoints: endpoints.filter(|table| table.version > version).cloned(),
-            instances: view.instances.values().cloned().collect(),
-            hosts: view.hosts.values().cloned().collect(),
-            terms,
+            endpoints: endpoints
+                .filter(|table| table.version > question.version)
+                .cloned(),
+            instances: (held.instances != own.instances).then(|| view.listed.to_vec()),
+            hosts: (held.hosts != own.hosts).then(|| view.listed_hosts.to_vec()),
+            terms: (held.terms != own.terms).then(|| {
+                terms
+                    .map(|term| (term.record.clone(), term.version))
+                    .collect()
+            }),
+            terms_age: view.terms_as_of.map(|as_of| BootTime::now().since(as_of)),
         }
     }
 
+    fn has_news(&self) -> bool {
+        self.endpoints.is_some()
+            || self.instances.is_some()
+            || self.hosts.is_some()
+            || self.terms.is_some()
+    }
+
     /// The events that this knowledge amounts to, when it was asked for at
-    /// `asked_at`.
-    #[must_use]
-    pub fn into_events(self, asked_at: BootTime) -> Vec<ControlEvent> {
-        let mut events = vec![
-            ControlEvent::Hosts(self.hosts),
-            ControlEvent::Instances(self.instances),
-        ];
+    /// `asked_at` by a host that had `digests`.
+    fn into_events(self, asked_at: BootTime, digests: ViewDigests) -> Vec<ControlEvent> {
+        let mut events = Vec::new();
+        events.extend(self.hosts.map(ControlEvent::Hosts));
+        events.extend(self.instances.map(ControlEvent::Instances));
         events.extend(self.endpoints.map(ControlEvent::Endpoints));
-        let mut by_age: Vec<(Duration, Vec<(TermRecord, ObjectVersion)>)> = Vec::new();
-        for term in self.terms {
-            // What is left was measured after the question was asked.
-            let age = LEASE_TIME.saturating_sub(term.time_left);
-            by_age.push((age, vec![(term.record, term.version)]));
-        }
-        for (age, records) in by_age {
-            let as_of = asked_at.before(age);
-            events.push(ControlEvent::Terms { as_of, records });
-        }
+        let Some(age) = self.terms_age else {
+            return events;
+        };
+        // The age was measured after the question was asked.
+        let as_of = asked_at.before(age);
+        events.push(match self.terms {
+            Some(records) => ControlEvent::Terms { as_of, records },
+            None => ControlEvent::TermsStand {
+                as_of,
+                digest: digests.terms,
+            },
+        });
         events
     }
 }
 
-/// When the store was heard of last.
+/// Answers a question for news, at the latest when its wait is over.
+pub async fn answer_question(context: &SharedContext, question: LearnQuestion) -> HostKnowledge {
+    let wait = Duration::from_millis(question.wait_ms).min(FOLLOW_TIME);
+    let deadline = Instant::now() + wait;
+    loop {
+        let listener = context.view.listen();
+        let view = context.view.load();
+        let knowledge = HostKnowledge::of(context, &view, &question);
+        let is_done = knowledge.has_news() || !knowledge.is_current;
+        if is_done || Instant::now() >= deadline {
+            return knowledge;
+        }
+        context.view.wait(listener, deadline).await;
+    }
+}
+
+/// When the store was heard of last, and whether this host should watch it.
 #[derive(Debug)]
 pub struct StoreSight {
     overdue_at: Mutex<Instant>,
+    wanted: AtomicBool,
+    changed: Event,
 }
 
 impl StoreSight {
-    /// The sight of a host that has just started.
+    /// The sight of a host that has just started; it watches.
     #[must_use]
     pub fn new(now: Instant) -> Self {
         Self {
             overdue_at: Mutex::new(now + START_TIME),
+            wanted: AtomicBool::new(true),
+            changed: Event::new(),
         }
     }
 
@@ -134,27 +177,56 @@
             .unwrap_or_else(PoisonError::into_inner);
         now >= *overdue_at
     }
-}
 
-/// Asks other hosts while the store is overdue, for as long as the task lives.
-/// `seeds` are addresses to begin with.
-pub async fn run_relay(context: SharedContext, control: ControlSender, seeds: Vec<CompactString>) {
-    loop {
-        Timer::after(ASK_INTERVAL).await;
-        if !context.store.is_overdue(Instant::now()) {
-            continue;
+    /// Whether this host should watch the store.
+    #[must_use]
+    pub fn is_wanted(&self) -> bool {
+        self.wanted.load(Ordering::SeqCst)
+    }
+
+    fn set_wanted(&self, wanted: bool) {
+        if self.wanted.swap(wanted, Ordering::SeqCst) != wanted {
+            log::info!("this host watches the store: {wanted}");
+            self.changed.notify(usize::MAX);
         }
-        for address in addresses(&context, &seeds) {
-            if ask(&context, &control, &address).await {
-                break;
+    }
+
+    /// Returns once this host should watch the store.
+    pub async fn wanted(&self) {
+        loop {
+            let listener = self.changed.listen();
+            if self.is_wanted() {
+                return;
             }
+            listener.await;
         }
     }
 }
 
-/// The hosts to ask, in random order, those that were out of reach last.
-fn addresses(context: &SharedContext, seeds: &[CompactString]) -> Vec<CompactString> {
-    let view = context.view.load();
+/// The hosts of the own data centre that stand before this one in line.
+fn hosts_before(context: &SharedContext, view: &TrafficView) -> Vec<CompactString> {
+    let place = &context.place;
+    let near = view
+        .hosts
+        .values()
+        .filter(|host| host.data_centre == place.data_centre);
+    let mut before = Vec::new();
+    for name in rank_hosts(LINE_KEY, near.map(|host| host.name.as_str())) {
+        if name == place.host {
+            break;
+        }
+        before.extend(view.hosts.get(name).map(|host| host.address.clone()));
+    }
+    before.truncate(LEADERS_MAX);
+    before
+}
+
+/// All other hosts in random order, those that were out of reach last.
+fn any_hosts(
+    context: &SharedContext,
+    view: &TrafficView,
+    seeds: &[CompactString],
+) -> Vec<CompactString> {
     let mut addresses: Vec<CompactString> = Vec::new();
     for host in view.hosts.values() {
         addresses.push(host.address.clone());
@@ -168,14 +240,62 @@
     addresses
 }
 
+/// Follows other hosts where there is one to follow, for as long as the task
+/// lives. `seeds` are addresses to begin with.
+pub async fn run_relay(context: SharedContext, control: ControlSender, seeds: Vec<CompactString>) {
+    Timer::after(START_TIME).await;
+    loop {
+        let next_at = Instant::now() + FOLLOW_INTERVAL;
+        if follow(&context, &control).await {
+            context.store.set_wanted(false);
+            Timer::at(next_at).await;
+            continue;
+        }
+        context.store.set_wanted(true);
+        if context.store.is_overdue(Instant::now()) {
+            let view = context.view.load();
+            for address in any_hosts(&context, &view, &seeds) {
+                if ask(&context, &control, &address, Duration::ZERO).await {
+                    break;
+                }
+            }
+        }
+        Timer::after(ROUND_INTERVAL).await;
+    }
+}
+
+/// Asks the hosts before this one for news. Says whether one was current.
+async fn follow(context: &SharedContext, control: &ControlSender) -> bool {
+    let view = context.view.load();
+    for address in hosts_before(context, &view) {
+        if context.peers.is_avoided(&address) {
+            continue;
+        }
+        if ask(context, control, &address, FOLLOW_TIME).await {
+            return true;
+        }
+    }
+    false
+}
+
 /// Asks one host. Says whether what it knows is current; of what is not, only a
 /// host that knows nothing makes use.
-async fn ask(context: &SharedContext, control: &ControlSender, address: &str) -> bool {
-    let held = context.view.load().endpoints.clone();
-    let version = held.as_ref().map_or(0, |table| table.version);
+async fn ask(
+    context: &SharedContext,
+    control: &ControlSender,
+    address: &str,
+    wait: Duration,
+) -> bool {
+    let view = context.view.load();
+    let held = view.endpoints.as_ref();
+    let question = LearnQuestion {
+        version: held.map_or(0, |table| table.version),
+        digests: view.digests,
+        wait_ms: u64::try_from(wait.as_millis()).unwrap_or_default(),
+    };
     let asked_at = BootTime::now();
-    let deadline = Instant::now() + ASK_TIME;
-    let call = ProxyCall::Learn(version);
+    let deadline = Instant::now() + wait + FOLLOW_SLACK;
+    let call = ProxyCall::Learn(question);
     let reply = context.peers.call(address, call, deadline).await;
     let Ok(ProxyReply::Knowledge(knowledge)) = reply else {
         return false;
@@ -184,8 +304,7 @@
     if !is_current && held.is_some() {
         return false;
     }
-    log::info!("the store does not answer; learned from {address}, current there: {is_current}");
-    for event in knowledge.into_events(asked_at) {
+    for event in knowledge.into_events(asked_at, view.digests) {
         // Fails only while the process ends.
         control.send(ControlMessage::Event(event)).ok();
     }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -16,7 +16,7 @@
 use crate::control::{ControlAction, ControlEvent, ControlState};
 use crate::entry::session::serve_caller;
 use crate::peers::{LINK_TIMING, ProxyCall, ProxyProtocol, ProxyReply};
-use crate::relay::{HostKnowledge, run_relay};
+use crate::relay::{answer_question, run_relay};
 
 /// Time between two rounds of upkeep; idle transactions end that much late.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
@@ -173,8 +173,8 @@
             let known = context.owners.primary_position(&database).await;
             ProxyReply::Position(known.map(|(as_of, point)| (as_of.elapsed(), point)))
         }
-        ProxyCall::Learn(version) => {
-            ProxyReply::Knowledge(Box::new(HostKnowledge::of(context, version)))
+        ProxyCall::Learn(question) => {
+            ProxyReply::Knowledge(Box::new(answer_question(context, question).await))
         }
         ProxyCall::Reach(instance) => ProxyReply::Reaches(context.owners.reaches(&instance).await),
         ProxyCall::Release {
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -9,6 +9,8 @@
 use fulmarrill_ownership::rank_hosts;
 use fulmarrill_position::{DatabaseName, Term};
 use fulmarrill_runtime::before;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::catalogue::{
     EndpointTable, HostEntry, HostName, InstanceEntry, InstanceId, ObjectVersion, TermRecord,
@@ -39,6 +41,25 @@
     }
 }
 
+/// Digests of the parts of a view, by which two hosts see whether they know the
+/// same.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewDigests {
+    /// Of the instances.
+    pub instances: u64,
+    /// Of the hosts.
+    pub hosts: u64,
+    /// Of the terms, their leases left out.
+    pub terms: u64,
+}
+
+/// Digest of anything that can be written as JSON.
+#[must_use]
+pub fn digest_of(value: &impl Serialize) -> u64 {
+    // What is digested here are plain structs, which can always be written.
+    serde_json::to_vec(value).map_or(0, |bytes| xxh3_64(&bytes))
+}
+
 /// Everything that traffic needs to know, as of one moment.
 #[derive(Debug, Clone, Default)]
 pub struct TrafficView {
@@ -50,6 +71,14 @@
     pub hosts: Arc<BTreeMap<HostName, HostEntry>>,
     /// Terms by database.
     pub terms: Arc<BTreeMap<DatabaseName, TermView>>,
+    /// Moment as of which the terms stood in the store.
+    pub terms_as_of: Option<BootTime>,
+    /// Instances as the store lists them, for hosts that follow this one.
+    pub listed: Arc<Vec<InstanceEntry>>,
+    /// Hosts as the store lists them.
+    pub listed_hosts: Arc<Vec<HostEntry>>,
+    /// Digests of what the store lists.
+    pub digests: ViewDigests,
 }
 
 impl TrafficView {
