Close connections that nobody uses; open none while an instance has too many

Ruled out: a smaller share for each owner, which would bind in bursts, when up to 12 are in use. Change: a pool closes connections idle for 2.5 s beyond slots + 2; after a refusal for too many it opens none for 100 ms.

--- a/crates/proxy/src/owner.rs
+++ b/crates/proxy/src/owner.rs
@@ -175,6 +175,7 @@
         };
         for owner in self.all() {
             owner.drop_pins(|pinned| now >= pinned.kept_at + table.transaction_idle_time);
+            owner.trim(now);
             if owner.wants_probe(now) {
                 fulmarrill_runtime::spawn(async move { owner.run_probe().await }).detach();
             }
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -8,7 +8,6 @@
 use fulmarrill_position::{LogPoint, Term};
 use fulmarrill_schedule::{RankIndex, RankPolicy};
 use fulmarrill_slots::{SlotGate, SlotGrant};
-use smol::Timer;
 
 use crate::catalogue::{HostName, InstanceEntry, InstanceId};
 use crate::codec::{DatabaseCodec, DatabaseCommand, DatabaseRole, ErrorKind};
@@ -29,8 +28,13 @@
 /// Time without an answer after which an instance is probed: longer than nearly
 /// all statements take.
 const SILENCE_TIME: Duration = Duration::from_millis(250);
-/// Time between two tries at an instance that has too many connections.
-const FULL_WAIT: Duration = Duration::from_millis(25);
+/// Time for which no connection is opened to an instance that has too many: a
+/// refusal costs it a reset, and its count falls slowly.
+const FULL_TIME: Duration = Duration::from_millis(100);
+/// Time after which a connection that nobody used is closed.
+const UNUSED_TIME: Duration = Duration::from_millis(2500);
+/// Connections kept open beside one for each slot, for transactions that begin.
+const SPARE_CONNECTIONS: usize = 2;
 /// Connections that are never kept for a transaction, so that others go on.
 const UNPINNED_CONNECTIONS: usize = 2;
 
@@ -176,9 +180,9 @@
                 }
                 // Connections of an earlier owner are still counted.
                 Err(ConnectionError::Refused(ErrorKind::TooManyConnections, _))
-                    if Instant::now() + FULL_WAIT < deadline =>
+                    if Instant::now() + FULL_TIME < deadline =>
                 {
-                    Timer::after(FULL_WAIT).await;
+                    self.pool.note_full(Instant::now() + FULL_TIME);
                     continue;
                 }
                 _ => {}
@@ -211,6 +215,14 @@
         (silent || health.is_failing()) && !self.probing.swap(true, Ordering::Relaxed)
     }
 
+    /// Closes connections that nobody has used for a while.
+    pub fn trim(&self, now: Instant) {
+        if let Some(since) = now.checked_sub(UNUSED_TIME) {
+            let kept = self.instance.slots + SPARE_CONNECTIONS;
+            self.pool.trim(since, kept);
+        }
+    }
+
     /// Probes the instance, after [`InstanceOwner::wants_probe`] said so.
     pub async fn run_probe(&self) {
         self.probe().await;
--- a/crates/proxy/src/owner/pool.rs
+++ b/crates/proxy/src/owner/pool.rs
@@ -78,6 +78,8 @@
     idle: Vec<PooledConnection>,
     open: usize,
     retired: bool,
+    /// Until when no connection is opened, after the instance had too many.
+    full_until: Option<Instant>,
 }
 
 /// Connections to one instance, at most `limit` of them.
@@ -152,7 +154,11 @@
 
     fn reserve(self: &Arc<Self>) -> Option<PoolPlace> {
         let mut state = self.state();
-        if state.open >= self.limit {
+        let now = Instant::now();
+        if state.full_until.is_some_and(|until| now >= until) {
+            state.full_until = None;
+        }
+        if state.open >= self.limit || state.full_until.is_some() {
             return None;
         }
         state.open += 1;
@@ -187,6 +193,26 @@
         !matches!(connecting.await, Err(ConnectionError::Connect(_)))
     }
 
+    /// Opens no connection for a while, after the instance had too many: those
+    /// of an earlier owner that lost its power are counted for some seconds.
+    pub fn note_full(&self, until: Instant) {
+        self.state().full_until = Some(until);
+    }
+
+    /// Closes connections that have been idle since `unused_since`, as long as
+    /// `kept` stay open. A successor finds that many fewer still counted.
+    pub fn trim(&self, unused_since: Instant, kept: usize) {
+        let mut state = self.state();
+        let mut excess = state.open.saturating_sub(kept);
+        let before = state.idle.len();
+        state.idle.retain(|held| {
+            let stays = excess == 0 || held.used_at > unused_since;
+            excess -= usize::from(!stays);
+            stays
+        });
+        state.open -= before - state.idle.len();
+    }
+
     /// Closes connections as soon as they are free.
     pub fn retire(&self) {
         self.state().retired = true;
