--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -1,18 +1,9 @@
 //! Counters and times, by opentelemetry, shown in the Prometheus text format.
 
-use std::fmt;
 use std::time::Duration;
 
+use fulmarrill_metrics::{Counter, Histogram, KeyValue, MetricRegistry};
 use fulmarrill_peer::WorkAnswer;
-use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
-
-/// Bounds of the histogram of request times, in seconds.
-const TIME_BOUNDS: [f64; 12] = [
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0,
-];
 
 /// One request as the metrics see it.
 #[derive(Debug, Clone, Copy)]
@@ -37,53 +28,28 @@
 }
 
 /// The metrics of one host.
+#[derive(Debug)]
 pub struct HostMetrics {
-    registry: Registry,
+    registry: MetricRegistry,
     requests: Counter<u64>,
     times: Histogram<f64>,
-    // The instruments stop working when the provider is dropped.
-    _provider: Option<SdkMeterProvider>,
-}
-
-impl fmt::Debug for HostMetrics {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("HostMetrics").finish_non_exhaustive()
-    }
 }
 
 impl HostMetrics {
     /// Metrics that have counted nothing.
     #[must_use]
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build();
-        let provider = match exporter {
-            Ok(exporter) => Some(SdkMeterProvider::builder().with_reader(exporter).build()),
-            Err(error) => {
-                log::error!("metrics are not available: {error}");
-                None
-            }
-        };
-        let meter = match &provider {
-            Some(provider) => provider.meter("fulmarrill"),
-            None => SdkMeterProvider::default().meter("fulmarrill"),
-        };
-        let requests = meter
-            .u64_counter("fulmarrill_requests")
-            .with_description("Requests by rank, kind, place and outcome")
-            .build();
-        let times = meter
-            .f64_histogram("fulmarrill_request_seconds")
-            .with_description("Time from a request to its answer")
-            .with_boundaries(TIME_BOUNDS.to_vec())
-            .build();
+        let registry = MetricRegistry::new();
         Self {
+            requests: registry.counter(
+                "fulmarrill_requests",
+                "Requests by rank, kind, place and outcome",
+            ),
+            times: registry.times(
+                "fulmarrill_request_seconds",
+                "Time from a request to its answer",
+            ),
             registry,
-            requests,
-            times,
-            _provider: provider,
         }
     }
 
@@ -147,10 +113,6 @@
     /// All metrics in the Prometheus text format.
     #[must_use]
     pub fn show(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::error!("metrics cannot be shown: {error}");
-        }
-        text
+        self.registry.render().into_bytes()
     }
 }
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -84,6 +84,7 @@
 #[derive(Debug)]
 struct LinkShared<R> {
     closed: AtomicBool,
+    heard_at: Mutex<Instant>,
     pending: Mutex<HashMap<u64, Sender<R>>>,
 }
 
@@ -159,6 +160,7 @@
         let (outgoing, frames) = async_channel::bounded(QUEUE_FRAMES);
         let shared = Arc::new(LinkShared {
             closed: AtomicBool::new(false),
+            heard_at: Mutex::new(Instant::now()),
             pending: Mutex::default(),
         });
         outgoing.try_send(hello).ok();
@@ -183,6 +185,19 @@
         self.shared.closed.load(Ordering::SeqCst)
     }
 
+    /// Whether anything came over the link at or after `since`.
+    #[must_use]
+    pub fn heard_since(&self, since: Instant) -> bool {
+        let heard_at = self.shared.heard_at.lock();
+        *heard_at.unwrap_or_else(PoisonError::into_inner) >= since
+    }
+
+    /// Gives the link up; calls that wait on it learn that.
+    pub fn close(&self) {
+        self.shared.close();
+        self.outgoing.close();
+    }
+
     /// Sends a call and waits for its reply.
     ///
     /// # Errors
@@ -228,6 +243,10 @@
         let Some(Ok(message)) = source.next().or(silence).await else {
             return;
         };
+        *shared
+            .heard_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = Instant::now();
         let Message::Binary(bytes) = message else {
             continue;
         };
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -9,11 +9,13 @@
 use event_listener::Event;
 
 use crate::catalogue::{HostName, RunName};
+use crate::clock::BootTime;
 use crate::codec::CallerCodec;
 use crate::entry::EntryState;
 use crate::owner::OwnerTable;
 use crate::peers::pool::PeerPool;
 use crate::relay::StoreSight;
+use crate::report::StatementLog;
 use crate::view::ViewCell;
 
 /// Where a host stands and what it is called.
@@ -43,11 +45,13 @@
     /// What traffic routes by.
     pub view: Arc<ViewCell>,
     /// Links to other hosts.
-    pub peers: PeerPool,
+    pub peers: Arc<PeerPool>,
     /// Instances served.
     pub owners: OwnerTable,
     /// What the entry knows.
     pub entry: EntryState,
+    /// Counts and reports statements.
+    pub statements: StatementLog,
     /// When the store was heard of last.
     pub store: StoreSight,
     leaving: AtomicBool,
@@ -72,6 +76,7 @@
             peers: PeerPool::new(&place.host),
             owners: OwnerTable::new(databases, view.clone()),
             entry: EntryState::new(),
+            statements: StatementLog::new(),
             store: StoreSight::new(Instant::now()),
             leaving: AtomicBool::new(false),
             closing: AtomicBool::new(false),
@@ -90,6 +95,35 @@
             .map(CompactString::as_str)
     }
 
+    /// The state of the host, for the dump.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let view = self.view.load();
+        let now = BootTime::now();
+        let mut terms = Vec::new();
+        for term in view.terms.values() {
+            terms.push(serde_json::json!({
+                "record": term.record,
+                "version": term.version,
+                "is_holder": term.is_holder,
+                "lease_left_ms": term.lease_until.since(now).as_millis().to_string(),
+            }));
+        }
+        serde_json::json!({
+            "host": self.place.host,
+            "run": self.place.run,
+            "configuration": view.endpoints.as_ref().map(|table| table.version),
+            "is_ready": self.is_ready(),
+            "watches_store": self.store.is_wanted(),
+            "store_overdue": self.store.is_overdue(Instant::now()),
+            "hosts": &*view.hosts,
+            "instances": &*view.instances,
+            "terms": terms,
+            "sessions": self.entry.session_count(),
+            "owned": self.owners.dump(),
+        })
+    }
+
     /// Whether the host was told to leave.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -457,7 +457,8 @@
     /// Plans the first record of a database: the primary that leads it now.
     fn plan_first(&self, view: &TrafficView, database: &str, actions: &mut Vec<ControlAction>) {
         for instance in view.members(database) {
-            if instance.role != DatabaseRole::Primary || self.place_in_line(view, instance) != 0 {
+            let place = self.place_in_line(view, instance);
+            if instance.role != DatabaseRole::Primary || place >= HOLDERS_AHEAD {
                 continue;
             }
             let Some(&term) = self.leads.get(&instance.id) else {
--- a/crates/proxy/src/entry/router.rs
+++ b/crates/proxy/src/entry/router.rs
@@ -24,6 +24,8 @@
     pub instance: InstanceId,
     /// Term that the instance was to lead, if it had to be the primary.
     pub lead: Option<Term>,
+    /// Position that the instance had to have.
+    pub floor: Option<LogPoint>,
 }
 
 impl RoutedAnswer {
@@ -35,6 +37,7 @@
             owner: HostName::default(),
             instance: InstanceId::default(),
             lead: None,
+            floor: None,
         }
     }
 }
@@ -71,12 +74,16 @@
                 owner: host.name.clone(),
                 instance: request.instance,
                 lead: request.lead,
+                floor: request.after,
             };
         }
     }
     RoutedAnswer {
         answer: result,
-        ..RoutedAnswer::not_run(NotRunReason::NoOwner)
+        instance: request.instance,
+        lead: request.lead,
+        floor: request.after,
+        owner: HostName::default(),
     }
 }
 
@@ -111,10 +118,9 @@
     };
     let served = match &answer {
         WorkAnswer::Served { point, .. } => {
-            if let (Some(term), Some(point)) = (lead, point) {
+            if let (Some(_), Some(point)) = (lead, point) {
                 // The answer was made after the work was sent.
-                let point = LogPoint::new(term, point.position);
-                context.entry.note_position(&database, sent_at, point);
+                context.entry.note_position(&database, sent_at, *point);
             }
             Some(sent_at.elapsed())
         }
--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -17,6 +17,7 @@
 use crate::context::SharedContext;
 use crate::entry::reads::{read_floor, run_read};
 use crate::entry::router::{RoutedAnswer, send_to_host, send_work};
+use crate::report::{StatementReport, StatementStart};
 use crate::statement::{
     CallerStatement, PreparedName, PreparedShape, SessionValues, StatementId, TransactionState,
 };
@@ -359,6 +360,10 @@
     async fn run(&mut self, statement: WorkStatement) {
         let commits = matches!(statement, WorkStatement::Commit(_));
         let writes = statement.writes();
+        let start = StatementStart {
+            id: statement.id(),
+            started_at: Instant::now(),
+        };
         let routed = match self.transaction.clone() {
             SessionTransaction::Open(open) => self.run_in(&open, statement).await,
             SessionTransaction::Begun { reads_only } => {
@@ -370,7 +375,7 @@
                 self.run_first(request, !writes).await
             }
         };
-        self.finish(routed, commits, writes);
+        self.finish(&start, routed, commits, writes);
     }
 
     async fn run_in(&self, open: &OpenTransaction, statement: WorkStatement) -> RoutedAnswer {
@@ -383,6 +388,7 @@
             owner: open.owner.clone(),
             instance: open.instance.clone(),
             lead: open.lead,
+            floor: None,
         }
     }
 
@@ -404,44 +410,79 @@
     }
 
     /// Tells the caller what became of a statement.
-    fn finish(&mut self, routed: RoutedAnswer, commits: bool, writes: bool) {
-        let in_transaction = !matches!(self.transaction, SessionTransaction::Idle);
-        let leads = routed.lead.is_some();
-        match routed.answer {
-            WorkAnswer::Served {
-                rows,
-                proof,
-                point,
+    fn finish(
+        &mut self,
+        start: &StatementStart,
+        routed: RoutedAnswer,
+        commits: bool,
+        writes: bool,
+    ) {
+        let told = explain(&routed.answer, writes);
+        self.report(start, &routed, told.as_ref());
+        if let Some((kind, text)) = told {
+            let in_transaction = !matches!(self.transaction, SessionTransaction::Idle);
+            self.transaction = if in_transaction && !commits {
+                SessionTransaction::Failed
+            } else {
+                SessionTransaction::Idle
+            };
+            self.refuse(kind, &text);
+        } else {
+            self.succeed_with(routed, writes);
+        }
+    }
+
+    /// Passes the answer of an instance on.
+    fn succeed_with(&mut self, routed: RoutedAnswer, writes: bool) {
+        let WorkAnswer::Served {
+            rows,
+            proof,
+            point,
+            pin,
+        } = routed.answer
+        else {
+            return;
+        };
+        self.transaction = match pin {
+            Some(pin) => SessionTransaction::Open(OpenTransaction {
+                owner: routed.owner,
+                instance: routed.instance,
+                lead: routed.lead,
                 pin,
-            } => {
-                self.transaction = match pin {
-                    Some(pin) => SessionTransaction::Open(OpenTransaction {
-                        owner: routed.owner,
-                        instance: routed.instance,
-                        lead: routed.lead,
-                        pin,
-                    }),
-                    None => SessionTransaction::Idle,
-                };
-                if leads && writes && pin.is_none() {
-                    self.own_point = self.own_point.max(point);
-                }
-                for row in rows {
-                    self.reply(&CallerReply::Row(row));
-                }
-                self.reply(&CallerReply::Done(Some(proof)));
-                self.reply_ready(point);
-            }
-            answer => {
-                self.transaction = if in_transaction && !commits {
-                    SessionTransaction::Failed
-                } else {
-                    SessionTransaction::Idle
-                };
-                let (kind, text) = explain(answer, writes);
-                self.refuse(kind, &text);
-            }
+            }),
+            None => SessionTransaction::Idle,
+        };
+        if routed.lead.is_some() && writes && pin.is_none() {
+            self.own_point = self.own_point.max(point);
+        }
+        for row in rows {
+            self.reply(&CallerReply::Row(row));
         }
+        self.reply(&CallerReply::Done(Some(proof)));
+        self.reply_ready(point);
+    }
+
+    fn report(
+        &self,
+        start: &StatementStart,
+        routed: &RoutedAnswer,
+        told: Option<&(ErrorKind, CompactString)>,
+    ) {
+        let view = self.context.view.load();
+        self.context.statements.note(&StatementReport {
+            id: &start.id,
+            endpoint: &self.endpoint.name,
+            database: &self.endpoint.database,
+            rank: self.endpoint.rank,
+            version: view.endpoints.as_ref().map_or(0, |table| table.version),
+            error: told.map(|(kind, _)| *kind),
+            reason: told.map_or("", |(_, text)| text),
+            instance: &routed.instance,
+            owner: &routed.owner,
+            lead: routed.lead,
+            floor: routed.floor,
+            time: start.started_at.elapsed(),
+        });
     }
 }
 
@@ -485,27 +526,22 @@
 }
 
 /// What a caller is told of an answer that is no success.
-fn explain(answer: WorkAnswer, writes: bool) -> (ErrorKind, CompactString) {
-    match answer {
-        WorkAnswer::Failed { kind, text } => (kind, text),
-        WorkAnswer::NotRun(reason) => {
-            let (kind, text) = match reason {
-                NotRunReason::Overload => (ErrorKind::Busy, "too much work waits"),
-                NotRunReason::NotPrimary => (ErrorKind::Busy, "the primary is being replaced"),
-                NotRunReason::Behind => (ErrorKind::Behind, "no instance is fresh enough"),
-                NotRunReason::Unreachable => (ErrorKind::Busy, "the instance cannot be reached"),
-                NotRunReason::NoOwner => (ErrorKind::Busy, "the owner cannot be reached"),
-                NotRunReason::TransactionLost => {
-                    (ErrorKind::Aborted, "the transaction was rolled back")
-                }
-            };
-            (kind, text.into())
-        }
-        WorkAnswer::Unknown if writes => {
-            (ErrorKind::InDoubt, "no answer came; it may have run".into())
-        }
-        WorkAnswer::Unknown | WorkAnswer::Served { .. } => {
-            (ErrorKind::TimedOut, "no answer came in time".into())
-        }
-    }
+fn explain(answer: &WorkAnswer, writes: bool) -> Option<(ErrorKind, CompactString)> {
+    let (kind, text) = match answer {
+        WorkAnswer::Served { .. } => return None,
+        WorkAnswer::Failed { kind, text } => return Some((*kind, text.clone())),
+        WorkAnswer::NotRun(reason) => match reason {
+            NotRunReason::Overload => (ErrorKind::Busy, "too much work waits"),
+            NotRunReason::NotPrimary => (ErrorKind::Busy, "the primary is being replaced"),
+            NotRunReason::Behind => (ErrorKind::Behind, "no instance is fresh enough"),
+            NotRunReason::Unreachable => (ErrorKind::Busy, "the instance cannot be reached"),
+            NotRunReason::NoOwner => (ErrorKind::Busy, "the owner cannot be reached"),
+            NotRunReason::TransactionLost => {
+                (ErrorKind::Aborted, "the transaction was rolled back")
+            }
+        },
+        WorkAnswer::Unknown if writes => (ErrorKind::InDoubt, "no answer came; it may have run"),
+        WorkAnswer::Unknown => (ErrorKind::TimedOut, "no answer came in time"),
+    };
+    Some((kind, text.into()))
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod peers;
 pub mod port;
 pub mod relay;
+pub mod report;
 pub mod server;
 pub mod statement;
 pub mod view;
--- a/crates/proxy/src/owner.rs
+++ b/crates/proxy/src/owner.rs
@@ -121,14 +121,14 @@
                 other => other,
             };
         }
-        if let (Some(_), Some(sent_at), WorkAnswer::Served { point, .. }) =
+        if let (Some(term), Some(sent_at), WorkAnswer::Served { point, .. }) =
             (lead, report.sent_at, &report.answer)
             && let Some(point) = point
         {
             self.sights()
                 .entry(database)
                 .or_default()
-                .record(sent_at, *point);
+                .record(term, sent_at, *point);
         }
         report.answer
     }
@@ -141,9 +141,8 @@
         if !self.may_lead(database, term) {
             return None;
         }
-        let known = self.sights().get(database).and_then(PrimarySight::latest);
-        let fresh = known
-            .filter(|(sent_at, point)| point.term == term && sent_at.elapsed() <= SIGHT_AGE_MAX);
+        let known = self.sights().get(database).and_then(|s| s.latest(term));
+        let fresh = known.filter(|(sent_at, _)| sent_at.elapsed() <= SIGHT_AGE_MAX);
         if fresh.is_some() {
             return fresh;
         }
@@ -155,7 +154,7 @@
         self.sights()
             .entry(database.into())
             .or_default()
-            .record(found.0, found.1);
+            .record(term, found.0, found.1);
         Some(found)
     }
 
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -393,6 +393,15 @@
             return OwnerReport::not_run(NotRunReason::Overload);
         };
         let sent_at = Some(sent_at);
+        if failure.is_some() && last.outcome.is_ok() {
+            // The statement ran although what it needed was refused.
+            log::error!(
+                "{}: {failure:?} before a statement that ran",
+                self.instance.id
+            );
+            let answer = WorkAnswer::Unknown;
+            return OwnerReport { answer, sent_at };
+        }
         if let Some((kind, text)) = failure {
             if kind == ErrorKind::NotPrepared {
                 lease.get().forget_prepared();
@@ -491,9 +500,9 @@
     pub async fn ask_position(&self, term: Term) -> Option<(Instant, LogPoint)> {
         let deadline = Instant::now() + POSITION_TIME;
         let (sent_at, answer) = self.command(DatabaseCommand::Status, deadline).await?;
-        // A position of another term is not that of this primary.
+        // A position of a later term is not that of this primary.
         let point = answer.point.filter(|point| point.term <= term)?;
-        Some((sent_at, LogPoint::new(term, point.position)))
+        Some((sent_at, point))
     }
 
     /// Runs one command of the proxy's own, before all other work.
@@ -582,6 +591,9 @@
         WorkStatement::Prepared { shape, .. } => Some(shape),
         _ => None,
     };
+    if request.step == WorkStep::Single {
+        lease.get().clear_for(&request.values, commands);
+    }
     let name = lease.get().prepare_for(&request.values, shape, commands);
     match &request.statement {
         WorkStatement::Text { id, text, .. } => commands.push(DatabaseCommand::Run {
--- a/crates/proxy/src/owner/pool.rs
+++ b/crates/proxy/src/owner/pool.rs
@@ -28,10 +28,25 @@
     pub connection: DatabaseConnection,
     values: SessionValues,
     prepared: HashMap<PreparedShape, CompactString>,
+    /// Number in the next name. Names are never used twice, so that one cannot
+    /// stand for an earlier shape whose preparing went unanswered.
+    next_name: u64,
     used_at: Instant,
 }
 
 impl PooledConnection {
+    /// Clears what an earlier session left behind that this one must not see,
+    /// and prepared statements once there are too many. Not for use inside a
+    /// transaction.
+    pub fn clear_for(&mut self, values: &SessionValues, commands: &mut Vec<DatabaseCommand>) {
+        let has_foreign = self.values.keys().any(|name| !values.contains_key(name));
+        if has_foreign || self.prepared.len() >= PREPARED_MAX {
+            commands.push(DatabaseCommand::Reset);
+            self.values = SessionValues::default();
+            self.prepared.clear();
+        }
+    }
+
     /// The commands that give this connection a session's values, and the name
     /// under which it knows `shape`.
     pub fn prepare_for(
@@ -40,14 +55,6 @@
         shape: Option<&PreparedShape>,
         commands: &mut Vec<DatabaseCommand>,
     ) -> Option<CompactString> {
-        let full = self.prepared.len() >= PREPARED_MAX
-            && shape.is_some_and(|shape| !self.prepared.contains_key(shape));
-        let removed = self.values.keys().any(|name| !values.contains_key(name));
-        if removed || full {
-            commands.push(DatabaseCommand::Reset);
-            self.values = SessionValues::default();
-            self.prepared.clear();
-        }
         if self.values != *values {
             for (name, value) in values.iter() {
                 if self.values.get(name) != Some(value) {
@@ -60,7 +67,8 @@
         if let Some(name) = self.prepared.get(shape) {
             return Some(name.clone());
         }
-        let name = format_compact!("p{}", self.prepared.len());
+        let name = format_compact!("p{}", self.next_name);
+        self.next_name += 1;
         commands.push(DatabaseCommand::Prepare(name.clone(), shape.clone()));
         self.prepared.insert(shape.clone(), name.clone());
         Some(name)
@@ -246,6 +254,7 @@
             connection,
             values: SessionValues::default(),
             prepared: HashMap::new(),
+            next_name: 0,
             used_at: Instant::now(),
         };
         // The place goes over to the lease.
--- a/crates/proxy/src/owner/sight.rs
+++ b/crates/proxy/src/owner/sight.rs
@@ -2,27 +2,35 @@
 
 use std::time::Instant;
 
-use fulmarrill_position::LogPoint;
+use fulmarrill_position::{LogPoint, Term};
 
 /// What an owner knows of a primary's position.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PrimarySight {
+    term: Term,
     latest: Option<(Instant, LogPoint)>,
 }
 
 impl PrimarySight {
-    /// Notes the position in the answer to a command sent at `sent_at`.
-    pub fn record(&mut self, sent_at: Instant, point: LogPoint) {
-        let (known_at, known) = self.latest.unwrap_or((sent_at, point));
+    /// Notes the position in the answer of the primary of `term` to a command
+    /// sent at `sent_at`.
+    pub fn record(&mut self, term: Term, sent_at: Instant, point: LogPoint) {
+        if term > self.term {
+            *self = Self { term, latest: None };
+        }
+        if term < self.term {
+            return;
+        }
         // Answers on several connections cross; the log itself never shrinks
-        // within a term, and a later term replaces an earlier one.
+        // within a term.
+        let (known_at, known) = self.latest.unwrap_or((sent_at, point));
         self.latest = Some((known_at.max(sent_at), known.max(point)));
     }
 
-    /// The highest position seen, which covers every commit acknowledged until
-    /// the moment beside it.
+    /// The highest position seen in a term, which covers every commit
+    /// acknowledged until the moment beside it.
     #[must_use]
-    pub fn latest(&self) -> Option<(Instant, LogPoint)> {
-        self.latest
+    pub fn latest(&self, term: Term) -> Option<(Instant, LogPoint)> {
+        self.latest.filter(|_| self.term == term)
     }
 }
--- a/crates/proxy/src/peers/pool.rs
+++ b/crates/proxy/src/peers/pool.rs
@@ -1,18 +1,29 @@
 //! Links to other hosts, set up when they are needed.
+//!
+//! A host that cannot be reached is passed over until a task in the background
+//! reaches it again, so that no work waits for a host that is gone.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use fulmarrill_link::{LinkError, PeerLink};
+use fulmarrill_schedule::backoff_delay;
+use smol::Timer;
 
 use crate::peers::{LINK_TIMING, ProxyCall, ProxyProtocol, ProxyReply};
 
 /// Time for setting up a link: several round trips between regions.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
-/// Time for which a host that could not be reached is passed over.
-const AVOID_TIME: Duration = Duration::from_millis(500);
+/// Time after which a link on which nothing was heard during a call is given
+/// up. Another host answers sooner even when it runs nothing.
+const SILENCE_TIME: Duration = Duration::from_millis(1200);
+/// Waits between tries to reach a host again.
+const RETRY_BASE: Duration = Duration::from_millis(150);
+const RETRY_MOST: Duration = Duration::from_secs(2);
+/// Tries after which nobody cares any more; the next call begins anew.
+const RETRIES_MAX: u32 = 20;
 
 /// A link to another host.
 type HostLink = PeerLink<ProxyProtocol>;
@@ -25,34 +36,32 @@
 pub struct PeerPool {
     host: CompactString,
     places: Mutex<HashMap<CompactString, LinkPlace>>,
-    avoided: Mutex<HashMap<CompactString, Instant>>,
+    avoided: Mutex<HashSet<CompactString>>,
 }
 
 impl PeerPool {
     /// A pool without links, of the host of this name.
     #[must_use]
-    pub fn new(host: &str) -> Self {
-        Self {
+    pub fn new(host: &str) -> Arc<Self> {
+        Arc::new(Self {
             host: host.into(),
             places: Mutex::default(),
             avoided: Mutex::default(),
-        }
+        })
     }
 
     fn places(&self) -> MutexGuard<'_, HashMap<CompactString, LinkPlace>> {
         self.places.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn avoided(&self) -> MutexGuard<'_, HashMap<CompactString, Instant>> {
+    fn avoided(&self) -> MutexGuard<'_, HashSet<CompactString>> {
         self.avoided.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether a host could not be reached a moment ago.
+    /// Whether a host could not be reached and was not reached since.
     #[must_use]
     pub fn is_avoided(&self, address: &str) -> bool {
-        self.avoided()
-            .get(address)
-            .is_some_and(|until| Instant::now() < *until)
+        self.avoided().contains(address)
     }
 
     /// Calls the host at `address`.
@@ -61,28 +70,55 @@
     ///
     /// [`LinkError::may_have_arrived`] tells whether the call was sent.
     pub async fn call(
-        &self,
+        self: &Arc<Self>,
         address: &str,
         call: ProxyCall,
         deadline: Instant,
     ) -> Result<ProxyReply, LinkError> {
-        let result = match self.link(address, deadline).await {
-            Ok(link) => link.call(call, deadline).await,
-            Err(error) => Err(error),
+        let called_at = Instant::now();
+        let link = match self.link(address, deadline).await {
+            Ok(link) => link,
+            Err(error) => {
+                self.note_unreachable(address, &error);
+                return Err(error);
+            }
         };
-        match &result {
-            Ok(_) => {
-                self.avoided().remove(address);
+        let result = link.call(call, deadline).await;
+        if let Err(error) = &result {
+            let is_silent = called_at.elapsed() >= SILENCE_TIME && !link.heard_since(called_at);
+            if is_silent {
+                link.close();
             }
-            Err(error) => {
-                log::debug!("{address}: {error}");
-                let until = Instant::now() + AVOID_TIME;
-                self.avoided().insert(address.into(), until);
+            if link.is_closed() {
+                self.note_unreachable(address, error);
             }
         }
         result
     }
 
+    /// Passes a host over until it is reached again.
+    fn note_unreachable(self: &Arc<Self>, address: &str, error: &LinkError) {
+        if !self.avoided().insert(address.into()) {
+            return;
+        }
+        log::warn!("{address} cannot be reached: {error}");
+        let (pool, address) = (self.clone(), CompactString::from(address));
+        fulmarrill_runtime::spawn(async move { pool.reach_again(&address).await }).detach();
+    }
+
+    async fn reach_again(&self, address: &str) {
+        for attempt in 1..=RETRIES_MAX {
+            let delay = backoff_delay(attempt, RETRY_BASE, RETRY_MOST, fastrand::f64());
+            Timer::after(delay).await;
+            let deadline = Instant::now() + CONNECT_TIME;
+            if self.link(address, deadline).await.is_ok() {
+                log::info!("{address} is reached again");
+                break;
+            }
+        }
+        self.avoided().remove(address);
+    }
+
     async fn link(&self, address: &str, deadline: Instant) -> Result<Arc<HostLink>, LinkError> {
         let place = self.places().entry(address.into()).or_default().clone();
         let mut place = place.lock().await;
--- a/crates/proxy/src/work.rs
+++ b/crates/proxy/src/work.rs
@@ -54,7 +54,19 @@
     Rollback,
 }
 
+/// Identifier in reports of statements that no caller numbered.
+const NO_ID: StatementId = StatementId::const_new("-");
+
 impl WorkStatement {
+    /// The caller's identifier.
+    #[must_use]
+    pub fn id(&self) -> StatementId {
+        match self {
+            Self::Text { id, .. } | Self::Prepared { id, .. } | Self::Commit(id) => id.clone(),
+            Self::Rollback => NO_ID,
+        }
+    }
+
     /// Whether the statement may leave something behind by itself.
     #[must_use]
     pub fn writes(&self) -> bool {
--- /dev/null
+++ b/crates/proxy/tests/health.rs
@@ -0,0 +1,93 @@
+//! When an instance counts as down, and who takes over.
+
+use std::time::{Duration, Instant};
+
+use fulmarrill_position::LogPoint;
+use fulmarrill_proxy::catalogue::InstanceEntry;
+use fulmarrill_proxy::change::candidate::{ChangeCandidate, choose_candidate};
+use fulmarrill_proxy::codec::{DatabaseRole, DatabaseStatus};
+use fulmarrill_proxy::owner::health::InstanceHealth;
+use fulmarrill_proxy::owner::sight::PrimarySight;
+
+const STEP: Duration = Duration::from_millis(400);
+
+#[test]
+fn one_failure_is_not_enough() {
+    let now = Instant::now();
+    let mut health = InstanceHealth::default();
+    health.note_failure(now);
+    assert!(health.is_failing());
+    assert!(!health.is_down(now + STEP));
+}
+
+#[test]
+fn failures_that_last_make_an_instance_down_and_an_answer_ends_that() {
+    let now = Instant::now();
+    let mut health = InstanceHealth::default();
+    health.note_failure(now);
+    health.note_failure(now);
+    assert!(!health.is_down(now));
+    assert!(health.is_down(now + STEP));
+    health.note_heard(now + STEP);
+    assert!(!health.is_down(now + STEP));
+    assert!(health.heard_since(now + STEP));
+}
+
+fn replica(id: &str) -> InstanceEntry {
+    InstanceEntry {
+        id: id.into(),
+        database: "orders".into(),
+        address: "127.0.0.1:1".into(),
+        data_centre: "north-1".into(),
+        slots: 2,
+        leaving: false,
+        role: DatabaseRole::Replica,
+        started_ms: 1,
+    }
+}
+
+fn status(term: u64, number: u64) -> DatabaseStatus {
+    DatabaseStatus {
+        role: DatabaseRole::Replica,
+        term,
+        received: LogPoint::new(term, number),
+        held_term: 0,
+    }
+}
+
+#[test]
+fn newest_log_takes_over_by_term_before_number() {
+    let (first, second) = (replica("a"), replica("b"));
+    let candidates = [
+        ChangeCandidate {
+            instance: &first,
+            status: status(3, 900),
+        },
+        ChangeCandidate {
+            instance: &second,
+            status: status(4, 10),
+        },
+    ];
+    assert_eq!(choose_candidate(&candidates).unwrap().instance.id, "b");
+    assert!(choose_candidate(&[]).is_none());
+}
+
+#[test]
+fn sight_of_an_older_term_says_nothing_about_a_later_one() {
+    let now = Instant::now();
+    let mut sight = PrimarySight::default();
+    sight.record(3, now, LogPoint::new(3, 900));
+    sight.record(4, now, LogPoint::new(4, 10));
+    sight.record(3, now + STEP, LogPoint::new(3, 901));
+    assert_eq!(sight.latest(4), Some((now, LogPoint::new(4, 10))));
+    assert_eq!(sight.latest(3), None);
+}
+
+#[test]
+fn crossed_answers_keep_the_latest_moment_and_the_highest_position() {
+    let now = Instant::now();
+    let mut sight = PrimarySight::default();
+    sight.record(3, now + STEP, LogPoint::new(3, 10));
+    sight.record(3, now, LogPoint::new(3, 12));
+    assert_eq!(sight.latest(3), Some((now + STEP, LogPoint::new(3, 12))));
+}
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -13,6 +13,7 @@
 
 use crate::error::CommandError;
 use crate::flags::Command;
+use crate::logging::LogTarget;
 
 /// Runs a command to its end.
 ///
@@ -22,7 +23,9 @@
 pub fn run(command: Command) -> Result<(), CommandError> {
     match command {
         Command::Serve { settings } => serve::run(&settings),
-        Command::Front => Ok(fulmarrill_platform::run_process(crate::logging::start)?),
+        Command::Front => Ok(fulmarrill_platform::run_process(|level| {
+            crate::logging::start(level, LogTarget::Output);
+        })?),
         Command::Check { file } => check::run(&file),
         Command::Apply {
             host,
--- a/src/commands/demo.rs
+++ b/src/commands/demo.rs
@@ -26,7 +26,7 @@
 /// Runs the demonstration; fails if a write was lost or doubled.
 pub fn run(seconds: u64, listen: bool) -> Result<(), CommandError> {
     fulmarrill_runtime::start_threads(TRAFFIC_THREADS);
-    logging::start("error");
+    logging::start("error", logging::LogTarget::Error);
     smol::block_on(run_demo(seconds.max(4), listen))
 }
 
--- a/src/commands/measure.rs
+++ b/src/commands/measure.rs
@@ -14,7 +14,7 @@
 /// Measures the cost if asked to, then runs each scenario; a lost or doubled write makes the command fail.
 pub fn run(json: bool, cost: bool, paths: &[PathBuf]) -> Result<(), CommandError> {
     fulmarrill_runtime::start_threads(TRAFFIC_THREADS);
-    logging::start("error");
+    logging::start("error", logging::LogTarget::Error);
     if cost {
         let report = smol::block_on(measure_cost())?;
         if json {
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -18,7 +18,7 @@
             path: path.display().to_string(),
             faults,
         })?;
-    logging::start(&settings.log_level);
+    logging::start(&settings.log_level, logging::LogTarget::Error);
     let threads = usize::try_from(settings.traffic_threads).unwrap_or(1);
     fulmarrill_runtime::start_threads(threads);
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
--- a/src/commands/standin.rs
+++ b/src/commands/standin.rs
@@ -7,7 +7,7 @@
 
 /// Runs the platform until the process is ended.
 pub fn run_platform(listen: &str) -> Result<(), CommandError> {
-    logging::start("info");
+    logging::start("info", logging::LogTarget::Error);
     smol::block_on(async {
         let platform = PlatformStandin::start(listen).await?;
         println!(
@@ -21,7 +21,7 @@
 
 /// Runs a database instance until the process is ended.
 pub fn run_database(options: InstanceOptions) -> Result<(), CommandError> {
-    logging::start("info");
+    logging::start("info", logging::LogTarget::Error);
     smol::block_on(async {
         let database = DatabaseStandin::start(options).await?;
         println!(
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,7 +16,9 @@
 
 fn main() -> ExitCode {
     let command = flags::command().run();
-    match commands::run(command) {
+    let result = commands::run(command);
+    logging::finish();
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("fulmarrill: {error}");
