Ask the old primary again while a change waits for its holders

Ruled out: giving the change up, since holders have given the term up for good. Change: each round of the wait tells the old primary to step down first.

--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -153,16 +153,7 @@
             self.publish(&primary, term).await;
             return Some(primary.id);
         }
-        let stepped_down = self.step_down(old_term + 1).await;
-        if let Some(status) = stepped_down {
-            log::info!(
-                "{}: stepped down at {:?}",
-                self.record.database,
-                status.received
-            );
-        } else {
-            self.end_term(old_term).await;
-        }
+        let stepped_down = self.end_term(old_term).await;
         let floor = stepped_down.map(|status| status.received);
         while self.is_in_time() {
             let Some(chosen) = self.choose(old_term + 1, floor).await else {
@@ -216,26 +207,32 @@
         (status.role == DatabaseRole::Replica).then_some(status)
     }
 
-    /// Waits until nobody can use the old primary any more.
-    async fn end_term(&self, term: Term) {
+    /// Waits until nobody can use the old primary any more. Returns its status
+    /// if it stepped down, which ends the term whoever holds it.
+    async fn end_term(&self, term: Term) -> Option<DatabaseStatus> {
+        let database = &self.record.database;
         let mut holding: BTreeSet<RunName> = self.record.holders.iter().cloned().collect();
         let lapsed_at = BootTime::now().after(LEASE_TIME + LEASE_MARGIN);
-        while !holding.is_empty() && BootTime::now() < lapsed_at {
+        loop {
+            if let Some(status) = self.step_down(term + 1).await {
+                log::info!("{database}: stepped down at {}", status.received);
+                return Some(status);
+            }
             for run in holding.clone() {
                 if self.has_given_up(&run, term).await {
                     holding.remove(&run);
                 }
             }
-            if holding.is_empty() {
+            if holding.is_empty() || BootTime::now() >= lapsed_at {
                 break;
             }
             Timer::after(ROUND_INTERVAL).await;
         }
         log::info!(
-            "{}: term {term} has ended, leases waited for: {}",
-            self.record.database,
+            "{database}: term {term} has ended, leases waited for: {}",
             holding.len()
         );
+        None
     }
 
     /// Whether a run has given the term up, or has ended.
