Clear an earlier session's values before a transaction, too

Ruled out: a second call at that place; the two belong together. Change: one method sets a connection up and clears it unless it is inside a transaction.

--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -305,7 +305,7 @@
             let mut commands = Vec::new();
             lease
                 .get()
-                .prepare_for(&request.values, None, &mut commands);
+                .set_up(&request.values, None, false, &mut commands);
             let after = after.take();
             commands.push(DatabaseCommand::Begin { reads_only, after });
             match self.exchange(&mut lease, &commands, request.deadline).await {
@@ -591,10 +591,10 @@
         WorkStatement::Prepared { shape, .. } => Some(shape),
         _ => None,
     };
-    if request.step == WorkStep::Single {
-        lease.get().clear_for(&request.values, commands);
-    }
-    let name = lease.get().prepare_for(&request.values, shape, commands);
+    let in_transaction = request.step != WorkStep::Single;
+    let name = lease
+        .get()
+        .set_up(&request.values, shape, in_transaction, commands);
     match &request.statement {
         WorkStatement::Text { id, text, .. } => commands.push(DatabaseCommand::Run {
             id: id.clone(),
--- a/crates/proxy/src/owner/pool.rs
+++ b/crates/proxy/src/owner/pool.rs
@@ -35,26 +35,23 @@
 }
 
 impl PooledConnection {
-    /// Clears what an earlier session left behind that this one must not see,
-    /// and prepared statements once there are too many. Not for use inside a
-    /// transaction.
-    pub fn clear_for(&mut self, values: &SessionValues, commands: &mut Vec<DatabaseCommand>) {
-        let has_foreign = self.values.keys().any(|name| !values.contains_key(name));
-        if has_foreign || self.prepared.len() >= PREPARED_MAX {
-            commands.push(DatabaseCommand::Reset);
-            self.values = SessionValues::default();
-            self.prepared.clear();
-        }
-    }
-
     /// The commands that give this connection a session's values, and the name
-    /// under which it knows `shape`.
-    pub fn prepare_for(
+    /// under which it knows `shape`. What an earlier session left behind is
+    /// cleared first; inside the session's own transaction there is none.
+    pub fn set_up(
         &mut self,
         values: &SessionValues,
         shape: Option<&PreparedShape>,
+        in_transaction: bool,
         commands: &mut Vec<DatabaseCommand>,
     ) -> Option<CompactString> {
+        let has_foreign = self.values.keys().any(|name| !values.contains_key(name));
+        let is_full = self.prepared.len() >= PREPARED_MAX;
+        if !in_transaction && (has_foreign || is_full) {
+            commands.push(DatabaseCommand::Reset);
+            self.values = SessionValues::default();
+            self.prepared.clear();
+        }
         if self.values != *values {
             for (name, value) in values.iter() {
                 if self.values.get(name) != Some(value) {
