Notice a dead link between hosts while a call waits on it

Ruled out: frequent probes on idle links, which cost each pair of hosts bytes. Change: a waiting call probes its link after 300 ms without a sign and gives it up after 600 ms; its other calls end too, and the host is passed over.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -68,6 +68,9 @@
     pub probe_interval: Duration,
     /// Time without a frame after which a link is given up.
     pub silence_limit: Duration,
+    /// The same while a call waits for its reply. The link is probed after half
+    /// of this time, so that a slow reply is told from a dead link.
+    pub call_silence_limit: Duration,
 }
 
 impl LinkTiming {
@@ -77,8 +80,16 @@
         Self {
             probe_interval,
             silence_limit,
+            call_silence_limit: silence_limit,
         }
     }
+
+    /// Sets the limit while a call waits for its reply.
+    #[must_use]
+    pub const fn with_call_silence_limit(mut self, limit: Duration) -> Self {
+        self.call_silence_limit = limit;
+        self
+    }
 }
 
 #[derive(Debug)]
@@ -105,6 +116,7 @@
 pub struct PeerLink<P: LinkProtocol> {
     shared: Arc<LinkShared<P::Reply>>,
     next_id: AtomicU64,
+    timing: LinkTiming,
     outgoing: Sender<Vec<u8>>,
     _task: smol::Task<()>,
 }
@@ -174,6 +186,7 @@
         Self {
             shared,
             next_id: AtomicU64::new(1),
+            timing,
             outgoing,
             _task: task,
         }
@@ -220,14 +233,39 @@
             self.shared.pending().remove(&id);
             return Err(LinkError::Down);
         }
+        let silence = async {
+            self.watch_silence().await;
+            None
+        };
         let timeout = async {
             Timer::at(deadline).await;
             None
         };
-        let reply = async { reply.recv().await.ok() }.or(timeout).await;
+        let reply = async { reply.recv().await.ok() };
+        let reply = reply.or(timeout).or(silence).await;
         self.shared.pending().remove(&id);
         reply.ok_or(LinkError::Lost)
     }
+
+    /// Returns once nothing has been heard for the limit of a waiting call, and
+    /// gives the link up.
+    async fn watch_silence(&self) {
+        let limit = self.timing.call_silence_limit;
+        let mut since = Instant::now();
+        loop {
+            Timer::at(since + limit / 2).await;
+            if !self.heard_since(since) {
+                // An empty frame stands for a probe.
+                self.outgoing.try_send(Vec::new()).ok();
+                Timer::at(since + limit).await;
+            }
+            if !self.heard_since(since) {
+                self.close();
+                return;
+            }
+            since = Instant::now();
+        }
+    }
 }
 
 async fn read_replies<P: LinkProtocol>(
@@ -266,6 +304,15 @@
     }
 }
 
+/// A frame as a message; an empty one stands for a probe.
+fn to_message(frame: Vec<u8>) -> Message {
+    if frame.is_empty() {
+        Message::Ping(Vec::new().into())
+    } else {
+        Message::binary(frame)
+    }
+}
+
 /// Writes frames; when there are none, a probe, so that silence has a meaning.
 pub(crate) async fn write_frames(
     mut sink: SplitSink<LinkStream, Message>,
@@ -278,7 +325,7 @@
             None
         };
         let message = match async { Some(frames.recv().await) }.or(quiet).await {
-            Some(Ok(frame)) => Message::binary(frame),
+            Some(Ok(frame)) => to_message(frame),
             Some(Err(_)) => return,
             None => Message::Ping(Vec::new().into()),
         };
@@ -286,7 +333,7 @@
             return;
         }
         while let Ok(frame) = frames.try_recv() {
-            if sink.feed(Message::binary(frame)).await.is_err() {
+            if sink.feed(to_message(frame)).await.is_err() {
                 return;
             }
         }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -13,9 +13,11 @@
 use crate::work::{WorkAnswer, WorkRequest};
 
 /// A quiet link is probed each second, which costs little, and given up after
-/// three lost probes. Calls have deadlines of their own.
+/// three lost probes. While a call waits, 600 ms without a sign are enough: that
+/// is below the least time of a statement, and many times a round trip.
 pub const LINK_TIMING: LinkTiming =
-    LinkTiming::new(Duration::from_secs(1), Duration::from_millis(3200));
+    LinkTiming::new(Duration::from_secs(1), Duration::from_millis(3200))
+        .with_call_silence_limit(Duration::from_millis(600));
 
 /// A call to another host.
 #[derive(Debug, Clone)]
--- a/crates/proxy/src/peers/pool.rs
+++ b/crates/proxy/src/peers/pool.rs
@@ -16,9 +16,6 @@
 
 /// Time for setting up a link: several round trips between regions.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
-/// Time after which a link on which nothing was heard during a call is given
-/// up. Another host answers sooner even when it runs nothing.
-const SILENCE_TIME: Duration = Duration::from_millis(1200);
 /// Waits between tries to reach a host again.
 const RETRY_BASE: Duration = Duration::from_millis(150);
 const RETRY_MOST: Duration = Duration::from_secs(2);
@@ -75,7 +72,6 @@
         call: ProxyCall,
         deadline: Instant,
     ) -> Result<ProxyReply, LinkError> {
-        let called_at = Instant::now();
         let link = match self.link(address, deadline).await {
             Ok(link) => link,
             Err(error) => {
@@ -84,14 +80,10 @@
             }
         };
         let result = link.call(call, deadline).await;
-        if let Err(error) = &result {
-            let is_silent = called_at.elapsed() >= SILENCE_TIME && !link.heard_since(called_at);
-            if is_silent {
-                link.close();
-            }
-            if link.is_closed() {
-                self.note_unreachable(address, error);
-            }
+        if let Err(error) = &result
+            && link.is_closed()
+        {
+            self.note_unreachable(address, error);
         }
         result
     }
--- a/crates/schedule/tests/floods.rs
+++ b/crates/schedule/tests/floods.rs
@@ -292,11 +292,11 @@
     }
     queue.offer(now, WorkItem::new(900, 0, "", far)).unwrap();
     assert_eq!(queue.next(now).unwrap().id, 900);
-    let deadline = now + Duration::from_millis(400);
+    let late = now + Duration::from_millis(380);
+    let deadline = late + Duration::from_millis(20);
     queue
         .offer(now, WorkItem::new(901, 0, "", deadline))
         .unwrap();
-    let late = deadline - Duration::from_millis(20);
     queue.finish(late, 0, cost);
     assert!(queue.next(late).is_none());
     assert_eq!(queue.take_expired()[0].id, 901);
