Run reads elsewhere once an instance is down; refuse what waits for a stalled one

Ruled out: ending writes sooner: an instance's silence says nothing about them. Change: a single read gives its instance up as soon as that counts as down and runs elsewhere; an instance that owes answers and gave none for 400 ms takes nothing new here, and what waits for it is refused at once as not run.

--- a/crates/proxy/src/owner.rs
+++ b/crates/proxy/src/owner.rs
@@ -165,8 +165,8 @@
         }
     }
 
-    /// Ends transactions that have been idle for too long, and probes instances
-    /// that seem to be down.
+    /// Ends transactions that have been idle for too long, probes instances that
+    /// seem to be down, and refuses what waits for one that does not answer.
     pub fn upkeep(&self, now: Instant) {
         let view = self.view.load();
         let Some(table) = &view.endpoints else {
@@ -175,6 +175,7 @@
         for owner in self.all() {
             owner.drop_pins(|pinned| now >= pinned.kept_at + table.transaction_idle_time);
             owner.trim(now);
+            owner.shed(now);
             if owner.wants_probe(now) {
                 fulmarrill_runtime::spawn(async move { owner.run_probe().await }).detach();
             }
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -5,9 +5,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use event_listener::Event;
 use fulmarrill_position::{LogPoint, Term};
 use fulmarrill_schedule::{RankIndex, RankPolicy};
 use fulmarrill_slots::{SlotGate, SlotGrant};
+use futures_lite::FutureExt;
 
 use crate::catalogue::{HostName, InstanceEntry, InstanceId};
 use crate::codec::{DatabaseCodec, DatabaseCommand, DatabaseRole, ErrorKind};
@@ -28,6 +30,10 @@
 /// Time without an answer after which an instance is probed: longer than nearly
 /// all statements take.
 const SILENCE_TIME: Duration = Duration::from_millis(250);
+/// Time without any answer of an instance that owes some, after which it counts
+/// as stalled. With several statements at a time on a slow instance some answer
+/// comes much sooner.
+const STALL_TIME: Duration = Duration::from_millis(400);
 /// Time for which no connection is opened to an instance that has too many: a
 /// refusal costs it a reset, and its count falls slowly.
 const FULL_TIME: Duration = Duration::from_millis(100);
@@ -77,6 +83,8 @@
     next_pin: AtomicU64,
     served: AtomicU64,
     health: Mutex<InstanceHealth>,
+    /// Notified when the instance may have gone down.
+    failed: Event,
     probing: AtomicBool,
     /// When each command that is still unanswered was sent.
     sent: Mutex<Vec<Instant>>,
@@ -99,6 +107,7 @@
             next_pin: AtomicU64::new(fastrand::u64(..) >> 1),
             served: AtomicU64::new(0),
             health: Mutex::default(),
+            failed: Event::new(),
             probing: AtomicBool::new(false),
             sent: Mutex::default(),
             instance,
@@ -175,9 +184,7 @@
         loop {
             let result = self.pool.take(values, deadline).await;
             match &result {
-                Err(ConnectionError::Connect(_)) => {
-                    self.health_mut().note_failure(Instant::now());
-                }
+                Err(ConnectionError::Connect(_)) => self.note_failure(Instant::now()),
                 // Connections of an earlier owner are still counted.
                 Err(ConnectionError::Refused(ErrorKind::TooManyConnections, _))
                     if Instant::now() + FULL_TIME < deadline =>
@@ -198,11 +205,49 @@
         if probed {
             self.health_mut().note_heard(now);
         } else {
-            self.health_mut().note_failure(now);
+            self.note_failure(now);
         }
         probed
     }
 
+    fn note_failure(&self, now: Instant) {
+        self.health_mut().note_failure(now);
+        self.failed.notify(usize::MAX);
+    }
+
+    /// Returns once the instance counts as down.
+    async fn down(&self) {
+        loop {
+            let listener = self.failed.listen();
+            if self.health().is_down(Instant::now()) {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    /// Whether the instance owes answers and has given none for a while, so
+    /// that whatever waits would wait in vain.
+    #[must_use]
+    pub fn is_stalled(&self, now: Instant) -> bool {
+        let Some(since) = now.checked_sub(STALL_TIME) else {
+            return false;
+        };
+        let owes = self.sent().iter().any(|at| *at <= since);
+        owes && !self.health().heard_since(since)
+    }
+
+    /// Refuses what waits for an instance that does not answer.
+    pub fn shed(&self, now: Instant) {
+        if self.is_stalled(now) && self.gate.waiting() > 0 {
+            log::warn!(
+                "{} owes answers; what waits for it is refused",
+                self.instance.id
+            );
+            self.gate.refuse_waiting();
+        }
+    }
+
     /// Whether the instance should be probed: it failed, or owes an answer for
     /// longer than a statement takes.
     #[must_use]
@@ -248,7 +293,8 @@
         may_lead: &(dyn Fn() -> bool + Send + Sync),
     ) -> OwnerReport {
         let starts = !matches!(request.step, WorkStep::Continue(_));
-        if starts && self.health().is_down(Instant::now()) {
+        let now = Instant::now();
+        if starts && (self.health().is_down(now) || self.is_stalled(now)) {
             return OwnerReport::not_run(NotRunReason::Unreachable);
         }
         match request.step {
@@ -333,7 +379,18 @@
         let mut commands = Vec::new();
         push_commands(&mut lease, request, after, &mut commands);
         let sent_at = Instant::now();
-        match self.exchange(&mut lease, &commands, request.deadline).await {
+        // A read may run again elsewhere as soon as the instance is known to be
+        // down; anything else has to wait for its answer.
+        let may_run_again = request.step == WorkStep::Single && !request.statement.writes();
+        let down = async {
+            if !may_run_again {
+                std::future::pending::<()>().await;
+            }
+            self.down().await;
+            Err(ConnectionError::Lost("the instance is down".into()))
+        };
+        let exchange = self.exchange(&mut lease, &commands, request.deadline);
+        match exchange.or(down).await {
             Ok(answers) => {
                 self.finish(from, request, lease, answers, pin, sent_at)
                     .await
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -137,6 +137,22 @@
         self.dispatch();
     }
 
+    /// Refuses everything that waits, after the instance stopped answering.
+    pub fn refuse_waiting(&self) {
+        let mut state = self.state();
+        let waiting = std::mem::take(&mut state.waiting);
+        for (id, reply) in waiting {
+            for rank in 0..state.queue.rank_count() {
+                if state.queue.cancel(rank, id) {
+                    break;
+                }
+            }
+            let refusal = ScheduleRefusal::TooLate(Duration::ZERO);
+            // Whoever waited may have given up meanwhile.
+            reply.try_send(Err(refusal)).ok();
+        }
+    }
+
     /// Time until new work of a rank would start.
     #[must_use]
     pub fn expected_wait(&self, rank: RankIndex) -> Duration {
