Refuse work that waited in vain while its caller still listens

Ruled out: a longer wait at the entry, which is past the operators' limit. Change: a wait ends when the work could not be finished any more; an entry keeps 30 ms of the limit for the way back; admission takes 1.2 times the wait foreseen.

--- a/crates/proxy/src/entry/router.rs
+++ b/crates/proxy/src/entry/router.rs
@@ -1,6 +1,6 @@
 //! Sends work to the owner of an instance.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use fulmarrill_position::{LogPoint, Term};
 
@@ -13,6 +13,10 @@
 /// Owners that are tried for one instance before the entry gives up.
 const OWNERS_MAX: usize = 3;
 
+/// Time for an answer on its way from an owner: one way between regions, and a
+/// turn of the processor.
+const REPLY_TIME: Duration = Duration::from_millis(30);
+
 /// An answer and the host that gave it.
 #[derive(Debug)]
 pub struct RoutedAnswer {
@@ -92,7 +96,7 @@
     context: &SharedContext,
     host: &str,
     address: &str,
-    request: WorkRequest,
+    mut request: WorkRequest,
 ) -> WorkAnswer {
     let instance = request.instance.clone();
     let database = request.database.clone();
@@ -105,6 +109,8 @@
         // Boxed, so that a session which waits for another host stays small.
         Box::pin(context.owners.run(host, request)).await
     } else {
+        // The owner's word that it did not run must arrive in time.
+        request.deadline = deadline.checked_sub(REPLY_TIME).unwrap_or(deadline);
         let call = ProxyCall::Run(Box::new(request));
         match context.peers.call(address, call, deadline).await {
             Ok(ProxyReply::Work(answer)) => answer,
--- a/crates/schedule/src/queue.rs
+++ b/crates/schedule/src/queue.rs
@@ -30,6 +30,11 @@
 /// at its deadline after it has begun, and its outcome would be unknown.
 const TIME_FACTOR: f64 = 2.5;
 
+/// The wait that was foreseen is taken this many times when work is admitted:
+/// work that is refused at once can be sent again, work that was admitted in
+/// vain has lost its time.
+const WAIT_FACTOR: f64 = 1.2;
+
 /// Something that needs a slot.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkItem {
@@ -142,7 +147,7 @@
             return Err(ScheduleRefusal::Full);
         }
         let wait = self.expected_wait(now, item.rank);
-        if now + wait + self.time_needed(item.rank) > item.deadline {
+        if now + wait.mul_f64(WAIT_FACTOR) + self.time_needed(item.rank) > item.deadline {
             return Err(ScheduleRefusal::TooLate(wait));
         }
         if item.rank == 0 {
@@ -176,6 +181,16 @@
         }
     }
 
+    /// Until when work must have been started to be finished by `deadline`.
+    #[must_use]
+    pub fn latest_start(&self, rank: RankIndex, deadline: Instant) -> Instant {
+        if rank >= self.ranks.len() {
+            return deadline;
+        }
+        let latest = deadline.checked_sub(self.time_needed(rank));
+        latest.unwrap_or(deadline)
+    }
+
     /// Time that must be left when work of a rank is started.
     fn time_needed(&self, rank: RankIndex) -> Duration {
         Duration::from_secs_f64(TIME_FACTOR * self.ranks[rank].mean_cost())
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -65,7 +65,8 @@
         self.dispatch();
     }
 
-    /// Waits for a slot. A rank past the last counts as the last.
+    /// Waits for a slot, until the work could not be finished by `deadline` any
+    /// more. A rank past the last counts as the last.
     ///
     /// # Errors
     ///
@@ -77,7 +78,7 @@
         deadline: Instant,
         continues: bool,
     ) -> Result<SlotGrant, ScheduleRefusal> {
-        let (id, rank, granted) = {
+        let (id, rank, granted, until) = {
             let mut state = self.state();
             let rank = rank.min(state.queue.rank_count().saturating_sub(1));
             let id = state.next_id;
@@ -86,7 +87,8 @@
             state.queue.offer(Instant::now(), item)?;
             let (reply, granted) = async_channel::bounded(1);
             state.waiting.insert(id, reply);
-            (id, rank, granted)
+            let until = state.queue.latest_start(rank, deadline);
+            (id, rank, granted, until)
         };
         self.dispatch();
         let mut ticket = SlotTicket {
@@ -95,7 +97,7 @@
             id,
             taken: false,
         };
-        match before(deadline, granted.recv()).await {
+        match before(until, granted.recv()).await {
             Ok(Ok(Ok(()))) => {
                 ticket.taken = true;
                 Ok(SlotGrant {
--- /dev/null
+++ b/crates/slots/tests/waits.rs
@@ -0,0 +1,53 @@
+//! How long work waits for a slot.
+
+use std::time::{Duration, Instant};
+
+use fulmarrill_schedule::{RankPolicy, ScheduleRefusal};
+use fulmarrill_slots::SlotGate;
+use smol::Timer;
+
+/// Time that each statement before the test took.
+const COST: Duration = Duration::from_millis(20);
+/// Time that the test's statement has.
+const LIMIT: Duration = Duration::from_millis(600);
+
+/// Answers a flood in which work waits for nothing: its refusal must arrive
+/// while the caller still waits for it.
+#[test]
+fn wait_ends_while_the_refusal_can_still_be_told() {
+    smol::block_on(async {
+        let gate = SlotGate::new(vec![RankPolicy::new("reports", 0.0)], 1);
+        for _ in 0..40 {
+            let grant = gate.take(0, "", Instant::now() + LIMIT, false).await;
+            Timer::after(COST).await;
+            drop(grant.unwrap());
+        }
+        let far = Instant::now() + Duration::from_mins(1);
+        let held = gate.take(0, "", far, false).await.unwrap();
+        let deadline = Instant::now() + LIMIT;
+        let refusal = gate.take(0, "", deadline, false).await.unwrap_err();
+        assert!(matches!(refusal, ScheduleRefusal::TooLate(_)));
+        assert!(Instant::now() < deadline, "refused after the deadline");
+        drop(held);
+    });
+}
+
+#[test]
+fn waiting_work_is_refused_when_the_instance_stalls() {
+    smol::block_on(async {
+        let gate = SlotGate::new(vec![RankPolicy::new("reports", 0.0)], 1);
+        let far = Instant::now() + Duration::from_mins(1);
+        let held = gate.take(0, "", far, false).await.unwrap();
+        let waiting = gate.take(0, "", far, false);
+        let refusing = async {
+            while gate.waiting() == 0 {
+                Timer::after(Duration::from_millis(1)).await;
+            }
+            gate.refuse_waiting();
+        };
+        let (refused, ()) = futures_lite::future::zip(waiting, refusing).await;
+        assert!(refused.is_err());
+        drop(held);
+        assert_eq!((gate.running(), gate.waiting()), (0, 0));
+    });
+}
