Send one statement ahead of a free slot

One owner alone leaves each slot idle while an answer and the next statement travel. Change: the gate before an instance lets one more statement through than it has slots; instances queue a few by themselves.

--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -23,6 +23,10 @@
 /// names ranks but no floors; these keep a tenth of the slots for each of the
 /// lower ranks, so that a flood of urgent work does not starve them.
 const RANK_FLOORS: [f64; 3] = [0.0, 0.1, 0.1];
+/// Statements sent ahead of a free slot, so that no slot of the instance stands
+/// idle while an answer and the next statement are on their way. Instances keep
+/// a short queue of their own.
+pub const QUEUED_AHEAD: usize = 1;
 /// Time for a rollback; an instance answers it without a slot.
 const ROLLBACK_TIME: Duration = Duration::from_millis(500);
 /// Time for a question for the position.
@@ -99,7 +103,7 @@
             policies.push(RankPolicy::new(&format!("rank-{index}"), floor));
         }
         Self {
-            gate: SlotGate::new(policies, instance.slots.max(1)),
+            gate: SlotGate::new(policies, instance.slots.max(1) + QUEUED_AHEAD),
             pool: ConnectionPool::new(codec, instance.clone(), connections),
             pin_limit: connections.saturating_sub(UNPINNED_CONNECTIONS).max(1),
             pins: Mutex::default(),
