--- a/crates/host/src/kernel.rs
+++ b/crates/host/src/kernel.rs
@@ -19,7 +19,7 @@
 use crate::peers::PeerPool;
 use crate::records::RecordKeeper;
 use crate::routes::AddressRoutes;
-use crate::view::ViewCell;
+use crate::view::{ControlView, ViewCell};
 
 /// Time that a leaving host gives its callers to go elsewhere.
 const LEAVE_TIME: Duration = Duration::from_secs(10);
@@ -87,7 +87,7 @@
             settings,
             addresses,
             listeners,
-            view: ViewCell::new(),
+            view: ViewCell::new(ControlView::initial()),
             control,
             owners: OwnerTable::new(),
             entry: EntryState::new(),
--- a/crates/host/src/view.rs
+++ b/crates/host/src/view.rs
@@ -2,16 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
 
-use arc_swap::ArcSwap;
-use event_listener::{Event, EventListener};
 use fulmarrill_document::OperatorDocument;
 use fulmarrill_ownership::{HostEntry, HostTable};
 use fulmarrill_peer::ControlVersions;
 use fulmarrill_position::DatabaseName;
 use fulmarrill_replication::{DatabaseGroup, GroupInstance};
-use fulmarrill_runtime::before;
+use fulmarrill_runtime::PublishedCell;
 
 /// A group with its version in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -78,43 +75,5 @@
     }
 }
 
-/// The cell in which the control thread publishes views.
-#[derive(Debug)]
-pub struct ViewCell {
-    view: ArcSwap<ControlView>,
-    changed: Event,
-}
-
-impl ViewCell {
-    /// A cell with the initial view.
-    #[must_use]
-    pub fn new() -> Self {
-        Self {
-            view: ArcSwap::from_pointee(ControlView::initial()),
-            changed: Event::new(),
-        }
-    }
-
-    /// The view in force.
-    #[must_use]
-    pub fn load(&self) -> Arc<ControlView> {
-        self.view.load_full()
-    }
-
-    /// Puts a new view in force.
-    pub fn publish(&self, view: ControlView) {
-        self.view.store(Arc::new(view));
-        self.changed.notify(usize::MAX);
-    }
-
-    /// A listener for the next view.
-    #[must_use]
-    pub fn listen(&self) -> EventListener {
-        self.changed.listen()
-    }
-
-    /// Waits for a view published after `listener` was made, or the deadline.
-    pub async fn wait(&self, listener: EventListener, deadline: Instant) {
-        before(deadline, listener).await.ok();
-    }
-}
+/// The cell in which control publishes views.
+pub type ViewCell = PublishedCell<ControlView>;
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -16,7 +16,7 @@
 use crate::peers::pool::PeerPool;
 use crate::relay::StoreSight;
 use crate::report::StatementLog;
-use crate::view::ViewCell;
+use crate::view::{TrafficView, ViewCell};
 
 /// Where a host stands and what it is called.
 #[derive(Debug, Clone)]
@@ -70,7 +70,7 @@
         callers: CallerCodec,
         databases: crate::codec::DatabaseCodec,
     ) -> SharedContext {
-        let view = Arc::new(ViewCell::new());
+        let view = Arc::new(ViewCell::new(TrafficView::default()));
         Arc::new(Self {
             callers,
             peers: PeerPool::new(&place.host),
--- a/crates/proxy/src/owner.rs
+++ b/crates/proxy/src/owner.rs
@@ -1,8 +1,10 @@
 //! The owner's side: all connections to the instances that this host serves.
 
+pub mod commands;
 pub mod connection;
 pub mod health;
 pub mod instance;
+pub mod monitor;
 pub mod pool;
 pub mod sight;
 
@@ -176,8 +178,8 @@
             owner.drop_pins(|pinned| now >= pinned.kept_at + table.transaction_idle_time);
             owner.trim(now);
             owner.shed(now);
-            if owner.wants_probe(now) {
-                fulmarrill_runtime::spawn(async move { owner.run_probe().await }).detach();
+            if owner.monitor().begin_probe(now) {
+                fulmarrill_runtime::spawn(async move { owner.probe().await }).detach();
             }
         }
     }
@@ -187,7 +189,7 @@
     pub fn down(&self, now: Instant) -> BTreeSet<InstanceId> {
         let mut down = BTreeSet::new();
         for owner in self.all() {
-            if owner.health().is_down(now) {
+            if owner.monitor().health().is_down(now) {
                 down.insert(owner.id().clone());
             }
         }
@@ -203,7 +205,7 @@
         };
         let owner = self.owner(&view, instance);
         let since = Instant::now().checked_sub(SIGHT_AGE_MAX);
-        let heard = since.is_some_and(|since| owner.health().heard_since(since));
+        let heard = since.is_some_and(|since| owner.monitor().health().heard_since(since));
         heard || owner.probe().await
     }
 
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -1,11 +1,10 @@
 //! One instance: the slots, the connections and the transactions on them.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use event_listener::Event;
 use fulmarrill_position::{LogPoint, Term};
 use fulmarrill_schedule::{RankIndex, RankPolicy};
 use fulmarrill_slots::{SlotGate, SlotGrant};
@@ -13,8 +12,9 @@
 
 use crate::catalogue::{HostName, InstanceEntry, InstanceId};
 use crate::codec::{DatabaseCodec, DatabaseCommand, DatabaseRole, ErrorKind};
+use crate::owner::commands::{failed_answer, push_commands, roll_back};
 use crate::owner::connection::{ConnectionError, DatabaseAnswer};
-use crate::owner::health::InstanceHealth;
+use crate::owner::monitor::InstanceMonitor;
 use crate::owner::pool::{ConnectionPool, PoolLease};
 use crate::statement::TransactionState;
 use crate::work::{NotRunReason, PinId, WorkAnswer, WorkRequest, WorkStatement, WorkStep};
@@ -27,17 +27,8 @@
 /// idle while an answer and the next statement are on their way. Instances keep
 /// a short queue of their own.
 pub const QUEUED_AHEAD: usize = 1;
-/// Time for a rollback; an instance answers it without a slot.
-const ROLLBACK_TIME: Duration = Duration::from_millis(500);
 /// Time for a question for the position.
 const POSITION_TIME: Duration = Duration::from_millis(500);
-/// Time without an answer after which an instance is probed: longer than nearly
-/// all statements take.
-const SILENCE_TIME: Duration = Duration::from_millis(250);
-/// Time without any answer of an instance that owes some, after which it counts
-/// as stalled. With several statements at a time on a slow instance some answer
-/// comes much sooner.
-const STALL_TIME: Duration = Duration::from_millis(400);
 /// Time for which no connection is opened to an instance that has too many: a
 /// refusal costs it a reset, and its count falls slowly.
 const FULL_TIME: Duration = Duration::from_millis(100);
@@ -86,15 +77,16 @@
     pins: Mutex<HashMap<PinId, PinnedTransaction>>,
     next_pin: AtomicU64,
     served: AtomicU64,
-    health: Mutex<InstanceHealth>,
-    /// Notified when the instance may have gone down.
-    failed: Event,
-    probing: AtomicBool,
-    /// When each command that is still unanswered was sent.
-    sent: Mutex<Vec<Instant>>,
+    monitor: InstanceMonitor,
 }
 
 impl InstanceOwner {
+    /// What is known of the instance's answers.
+    #[must_use]
+    pub fn monitor(&self) -> &InstanceMonitor {
+        &self.monitor
+    }
+
     /// Begins to own an instance, with at most `connections` connections.
     #[must_use]
     pub fn new(codec: DatabaseCodec, instance: InstanceEntry, connections: usize) -> Self {
@@ -110,10 +102,7 @@
             // Pins must not be mistaken for those of an earlier owner.
             next_pin: AtomicU64::new(fastrand::u64(..) >> 1),
             served: AtomicU64::new(0),
-            health: Mutex::default(),
-            failed: Event::new(),
-            probing: AtomicBool::new(false),
-            sent: Mutex::default(),
+            monitor: InstanceMonitor::new(),
             instance,
         }
     }
@@ -149,20 +138,6 @@
         self.gate.expected_wait(rank)
     }
 
-    /// What is known of the instance's reachability.
-    #[must_use]
-    pub fn health(&self) -> InstanceHealth {
-        *self.health_mut()
-    }
-
-    fn health_mut(&self) -> MutexGuard<'_, InstanceHealth> {
-        self.health.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn sent(&self) -> MutexGuard<'_, Vec<Instant>> {
-        self.sent.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Sends commands and takes their answers, and notes that the instance was
     /// heard of.
     async fn exchange(
@@ -171,11 +146,11 @@
         commands: &[DatabaseCommand],
         deadline: Instant,
     ) -> Result<Vec<DatabaseAnswer>, ConnectionError> {
-        let guard = SentGuard::new(self);
+        let guard = self.monitor.note_sent();
         let result = lease.get().connection.exchange(commands, deadline).await;
         drop(guard);
         if result.is_ok() {
-            self.health_mut().note_heard(Instant::now());
+            self.monitor.note_heard();
         }
         result
     }
@@ -188,7 +163,7 @@
         loop {
             let result = self.pool.take(values, deadline).await;
             match &result {
-                Err(ConnectionError::Connect(_)) => self.note_failure(Instant::now()),
+                Err(ConnectionError::Connect(_)) => self.monitor.note_failure(),
                 // Connections of an earlier owner are still counted.
                 Err(ConnectionError::Refused(ErrorKind::TooManyConnections, _))
                     if Instant::now() + FULL_TIME < deadline =>
@@ -205,45 +180,18 @@
     /// Tries to connect. Says whether the instance answers, whatever it says.
     pub async fn probe(&self) -> bool {
         let probed = self.pool.probe().await;
-        let now = Instant::now();
         if probed {
-            self.health_mut().note_heard(now);
+            self.monitor.note_heard();
         } else {
-            self.note_failure(now);
+            self.monitor.note_failure();
         }
+        self.monitor.end_probe();
         probed
     }
 
-    fn note_failure(&self, now: Instant) {
-        self.health_mut().note_failure(now);
-        self.failed.notify(usize::MAX);
-    }
-
-    /// Returns once the instance counts as down.
-    async fn down(&self) {
-        loop {
-            let listener = self.failed.listen();
-            if self.health().is_down(Instant::now()) {
-                return;
-            }
-            listener.await;
-        }
-    }
-
-    /// Whether the instance owes answers and has given none for a while, so
-    /// that whatever waits would wait in vain.
-    #[must_use]
-    pub fn is_stalled(&self, now: Instant) -> bool {
-        let Some(since) = now.checked_sub(STALL_TIME) else {
-            return false;
-        };
-        let owes = self.sent().iter().any(|at| *at <= since);
-        owes && !self.health().heard_since(since)
-    }
-
     /// Refuses what waits for an instance that does not answer.
     pub fn shed(&self, now: Instant) {
-        if self.is_stalled(now) && self.gate.waiting() > 0 {
+        if self.monitor.is_stalled(now) && self.gate.waiting() > 0 {
             log::warn!(
                 "{} owes answers; what waits for it is refused",
                 self.instance.id
@@ -252,18 +200,6 @@
         }
     }
 
-    /// Whether the instance should be probed: it failed, or owes an answer for
-    /// longer than a statement takes.
-    #[must_use]
-    pub fn wants_probe(&self, now: Instant) -> bool {
-        let health = self.health();
-        let oldest = self.sent().iter().min().copied();
-        let silent = oldest.is_some_and(|at| {
-            now.saturating_duration_since(at) >= SILENCE_TIME && !health.heard_since(at)
-        });
-        (silent || health.is_failing()) && !self.probing.swap(true, Ordering::Relaxed)
-    }
-
     /// Closes connections that nobody has used for a while.
     pub fn trim(&self, now: Instant) {
         if let Some(since) = now.checked_sub(UNUSED_TIME) {
@@ -272,12 +208,6 @@
         }
     }
 
-    /// Probes the instance, after [`InstanceOwner::wants_probe`] said so.
-    pub async fn run_probe(&self) {
-        self.probe().await;
-        self.probing.store(false, Ordering::Relaxed);
-    }
-
     /// Gives connections up as soon as they are free.
     pub fn retire(&self) {
         self.pool.retire();
@@ -298,7 +228,8 @@
     ) -> OwnerReport {
         let starts = !matches!(request.step, WorkStep::Continue(_));
         let now = Instant::now();
-        if starts && (self.health().is_down(now) || self.is_stalled(now)) {
+        let monitor = &self.monitor;
+        if starts && (monitor.health().is_down(now) || monitor.is_stalled(now)) {
             return OwnerReport::not_run(NotRunReason::Unreachable);
         }
         match request.step {
@@ -390,7 +321,7 @@
             if !may_run_again {
                 std::future::pending::<()>().await;
             }
-            self.down().await;
+            self.monitor.down().await;
             Err(ConnectionError::Lost("the instance is down".into()))
         };
         let exchange = self.exchange(&mut lease, &commands, request.deadline);
@@ -599,88 +530,3 @@
         })
     }
 }
-
-/// Counts a command as unanswered until it is dropped.
-struct SentGuard<'a> {
-    owner: &'a InstanceOwner,
-    at: Instant,
-}
-
-impl<'a> SentGuard<'a> {
-    fn new(owner: &'a InstanceOwner) -> Self {
-        let at = Instant::now();
-        owner.sent().push(at);
-        Self { owner, at }
-    }
-}
-
-impl Drop for SentGuard<'_> {
-    fn drop(&mut self) {
-        let mut sent = self.owner.sent();
-        if let Some(index) = sent.iter().position(|at| *at == self.at) {
-            sent.swap_remove(index);
-        }
-    }
-}
-
-/// What a failure that the instance reported means for the entry.
-fn failed_answer(
-    request: &WorkRequest,
-    kind: ErrorKind,
-    text: compact_str::CompactString,
-) -> WorkAnswer {
-    if matches!(request.step, WorkStep::Continue(_)) {
-        return WorkAnswer::Failed { kind, text };
-    }
-    match kind {
-        ErrorKind::Behind => WorkAnswer::NotRun(NotRunReason::Behind),
-        ErrorKind::ReadOnly => WorkAnswer::NotRun(NotRunReason::NotPrimary),
-        ErrorKind::Misrouted => WorkAnswer::NotRun(NotRunReason::Unreachable),
-        kind if kind.is_not_run() => WorkAnswer::NotRun(NotRunReason::Overload),
-        _ => WorkAnswer::Failed { kind, text },
-    }
-}
-
-/// The commands for a piece of work on a connection.
-fn push_commands(
-    lease: &mut PoolLease,
-    request: &WorkRequest,
-    after: Option<LogPoint>,
-    commands: &mut Vec<DatabaseCommand>,
-) {
-    let shape = match &request.statement {
-        WorkStatement::Prepared { shape, .. } => Some(shape),
-        _ => None,
-    };
-    let in_transaction = request.step != WorkStep::Single;
-    let name = lease
-        .get()
-        .set_up(&request.values, shape, in_transaction, commands);
-    match &request.statement {
-        WorkStatement::Text { id, text, .. } => commands.push(DatabaseCommand::Run {
-            id: id.clone(),
-            after,
-            text: text.clone(),
-        }),
-        WorkStatement::Prepared { id, arguments, .. } => commands.push(DatabaseCommand::Execute {
-            id: id.clone(),
-            after,
-            name: name.unwrap_or_default(),
-            arguments: arguments.clone(),
-        }),
-        WorkStatement::Commit(id) => commands.push(DatabaseCommand::Commit(id.clone())),
-        WorkStatement::Rollback => commands.push(DatabaseCommand::Rollback),
-    }
-}
-
-/// Rolls a transaction back and gives its connection up or back.
-async fn roll_back(mut lease: PoolLease) {
-    let deadline = Instant::now() + ROLLBACK_TIME;
-    let connection = &mut lease.get().connection;
-    let answers = connection.exchange(&[DatabaseCommand::Rollback], deadline);
-    match answers.await {
-        Ok(answers) if answers.iter().all(|a| a.state == TransactionState::Idle) => lease.settle(),
-        Ok(_) => {}
-        Err(error) => log::debug!("rollback: {error}"),
-    }
-}
--- /dev/null
+++ b/crates/proxy/src/owner/monitor.rs
@@ -0,0 +1,125 @@
+//! Watches whether an instance answers.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use event_listener::Event;
+
+use crate::owner::health::InstanceHealth;
+
+/// Time without an answer after which an instance is probed: longer than nearly
+/// all statements take.
+const SILENCE_TIME: Duration = Duration::from_millis(250);
+/// Time without any answer of an instance that owes some, after which it counts
+/// as stalled. With several statements at a time on a slow instance some answer
+/// comes much sooner.
+const STALL_TIME: Duration = Duration::from_millis(400);
+
+/// What is known of an instance's answers.
+#[derive(Debug, Default)]
+pub struct InstanceMonitor {
+    health: Mutex<InstanceHealth>,
+    /// Notified when the instance may have gone down.
+    failed: Event,
+    probing: AtomicBool,
+    /// When each command that is still unanswered was sent.
+    sent: Mutex<Vec<Instant>>,
+}
+
+impl InstanceMonitor {
+    /// A monitor that knows nothing.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Whether the instance can be reached.
+    #[must_use]
+    pub fn health(&self) -> InstanceHealth {
+        *self.health_mut()
+    }
+
+    fn health_mut(&self) -> MutexGuard<'_, InstanceHealth> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn sent(&self) -> MutexGuard<'_, Vec<Instant>> {
+        self.sent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes an answer, whatever it says.
+    pub fn note_heard(&self) {
+        self.health_mut().note_heard(Instant::now());
+    }
+
+    /// Notes that a connection could not be set up.
+    pub fn note_failure(&self) {
+        self.health_mut().note_failure(Instant::now());
+        self.failed.notify(usize::MAX);
+    }
+
+    /// Counts a command as unanswered until the guard is dropped.
+    #[must_use]
+    pub fn note_sent(&self) -> SentGuard<'_> {
+        let at = Instant::now();
+        self.sent().push(at);
+        SentGuard { monitor: self, at }
+    }
+
+    /// Returns once the instance counts as down.
+    pub async fn down(&self) {
+        loop {
+            let listener = self.failed.listen();
+            if self.health().is_down(Instant::now()) {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    /// Whether the instance owes answers and has given none for a while, so
+    /// that whatever waits would wait in vain.
+    #[must_use]
+    pub fn is_stalled(&self, now: Instant) -> bool {
+        let Some(since) = now.checked_sub(STALL_TIME) else {
+            return false;
+        };
+        let owes = self.sent().iter().any(|at| *at <= since);
+        owes && !self.health().heard_since(since)
+    }
+
+    /// Whether the instance should be probed now: it failed, or owes an answer
+    /// for longer than a statement takes. Whoever gets a yes has to probe and
+    /// to say so by [`InstanceMonitor::end_probe`].
+    #[must_use]
+    pub fn begin_probe(&self, now: Instant) -> bool {
+        let health = self.health();
+        let oldest = self.sent().iter().min().copied();
+        let silent = oldest.is_some_and(|at| {
+            now.saturating_duration_since(at) >= SILENCE_TIME && !health.heard_since(at)
+        });
+        (silent || health.is_failing()) && !self.probing.swap(true, Ordering::Relaxed)
+    }
+
+    /// Ends a probe.
+    pub fn end_probe(&self) {
+        self.probing.store(false, Ordering::Relaxed);
+    }
+}
+
+/// A command that is not answered yet.
+#[derive(Debug)]
+pub struct SentGuard<'a> {
+    monitor: &'a InstanceMonitor,
+    at: Instant,
+}
+
+impl Drop for SentGuard<'_> {
+    fn drop(&mut self) {
+        let mut sent = self.monitor.sent();
+        if let Some(index) = sent.iter().position(|at| *at == self.at) {
+            sent.swap_remove(index);
+        }
+    }
+}
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -2,13 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
 
-use arc_swap::ArcSwap;
-use event_listener::{Event, EventListener};
 use fulmarrill_ownership::rank_hosts;
 use fulmarrill_position::{DatabaseName, Term};
-use fulmarrill_runtime::before;
+use fulmarrill_runtime::PublishedCell;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -119,39 +116,4 @@
 }
 
 /// The cell in which control publishes views.
-#[derive(Debug, Default)]
-pub struct ViewCell {
-    view: ArcSwap<TrafficView>,
-    changed: Event,
-}
-
-impl ViewCell {
-    /// A cell with an empty view.
-    #[must_use]
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    /// The view in force.
-    #[must_use]
-    pub fn load(&self) -> Arc<TrafficView> {
-        self.view.load_full()
-    }
-
-    /// Puts a new view in force.
-    pub fn publish(&self, view: TrafficView) {
-        self.view.store(Arc::new(view));
-        self.changed.notify(usize::MAX);
-    }
-
-    /// A listener for the next view.
-    #[must_use]
-    pub fn listen(&self) -> EventListener {
-        self.changed.listen()
-    }
-
-    /// Waits for a view published after `listener` was made, or the deadline.
-    pub async fn wait(&self, listener: EventListener, deadline: Instant) {
-        before(deadline, listener).await.ok();
-    }
-}
+pub type ViewCell = PublishedCell<TrafficView>;
--- a/crates/proxy/tests/health.rs
+++ b/crates/proxy/tests/health.rs
@@ -7,6 +7,7 @@
 use fulmarrill_proxy::change::candidate::{ChangeCandidate, choose_candidate};
 use fulmarrill_proxy::codec::{DatabaseRole, DatabaseStatus};
 use fulmarrill_proxy::owner::health::InstanceHealth;
+use fulmarrill_proxy::owner::monitor::InstanceMonitor;
 use fulmarrill_proxy::owner::sight::PrimarySight;
 
 const STEP: Duration = Duration::from_millis(400);
@@ -91,3 +92,29 @@
     sight.record(3, now, LogPoint::new(3, 12));
     assert_eq!(sight.latest(3), Some((now + STEP, LogPoint::new(3, 12))));
 }
+
+#[test]
+fn instance_that_owes_an_answer_is_stalled_until_it_gives_any() {
+    let monitor = InstanceMonitor::new();
+    let sent = monitor.note_sent();
+    let now = Instant::now();
+    assert!(!monitor.is_stalled(now));
+    assert!(monitor.is_stalled(now + STEP));
+    monitor.note_heard();
+    assert!(!monitor.is_stalled(Instant::now()));
+    drop(sent);
+    assert!(!monitor.is_stalled(now + 10 * STEP));
+}
+
+#[test]
+fn silent_instance_is_probed_by_one_task_at_a_time() {
+    let monitor = InstanceMonitor::new();
+    let now = Instant::now();
+    assert!(!monitor.begin_probe(now));
+    let _sent = monitor.note_sent();
+    let later = Instant::now() + STEP;
+    assert!(monitor.begin_probe(later));
+    assert!(!monitor.begin_probe(later));
+    monitor.end_probe();
+    assert!(monitor.begin_probe(later));
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,4 +1,5 @@
-//! The executor of traffic threads, and waiting until a deadline.
+//! The executor of traffic threads, waiting until a deadline, and values that one
+//! thread publishes to others.
 //!
 //! ```
 //! fulmarrill_runtime::start_threads(2);
@@ -9,6 +10,7 @@
 //! smol's own global executor takes its number of threads from the
 //! environment; here it comes from the settings file.
 
+mod cell;
 mod deadline;
 
 use std::future::Future;
@@ -17,6 +19,7 @@
 
 use smol::{Executor, Task};
 
+pub use crate::cell::PublishedCell;
 pub use crate::deadline::{Elapsed, before};
 
 /// Threads of an executor that was not started explicitly.
