Close a connection that refused to be set up

Cause: reading the diff: when an instance fails both a SET and the statement after it, the connection went back with values that it does not have, and the next session with the same values would have run with others. Ruled out: a separate exchange for each SET, a round trip for each new session. Change: a connection on which anything before the last command failed is closed. Figures: connection_that_refused_a_value_is_not_used_again failed before and passes now.

--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -367,7 +367,8 @@
     }
 
     /// Turns the answers into one for the entry, and keeps or settles the
-    /// connection.
+    /// connection. One that refused to be set up is closed: it does not have the
+    /// values that it is believed to have.
     async fn finish(
         &self,
         from: &str,
@@ -398,7 +399,10 @@
             if kind == ErrorKind::NotPrepared {
                 lease.get().forget_prepared();
             }
-            if last.state == TransactionState::Idle {
+            let was_set_up = answers.iter().all(|answer| answer.outcome.is_ok());
+            if !was_set_up {
+                drop(lease);
+            } else if last.state == TransactionState::Idle {
                 lease.settle();
             } else {
                 roll_back(lease).await;
