Flushes of records remove what they wrote, by identity

With newer segments behind, it would have removed records that were never written. Ruled out: load as the cause; it only widened the gap between the two. Figures: two_flushes_of_the_same_segments_remove_nothing_else passes; removal by count takes a segment more, or panics.

--- a/crates/host/src/records.rs
+++ b/crates/host/src/records.rs
@@ -15,7 +15,7 @@
 use fulmarrill_objects::{ObjectKey, PutResult};
 use fulmarrill_ownership::HostEntry;
 use fulmarrill_peer::{PeerCall, PeerReply, RecordBatch};
-use fulmarrill_records::{RecordChain, RecordLimit, RecordSegment, RequestRecord};
+use fulmarrill_records::{RecordChain, RecordLimit, RecordSegment, RequestRecord, remove_written};
 use fulmarrill_runtime::before;
 use serde_json::Value;
 use smol::Timer;
@@ -299,8 +299,7 @@
             return;
         }
         let mut inner = keeper.lock();
-        inner.unwritten.drain(..batch.len());
-        let weight: usize = batch.iter().map(|segment| segment.weight()).sum();
+        let weight = remove_written(&mut inner.unwritten, &batch);
         inner.unwritten_weight = inner.unwritten_weight.saturating_sub(weight);
         for segment in &batch {
             let last = segment.next_sequence() - 1;
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -24,5 +24,5 @@
 pub use crate::limit::RecordLimit;
 pub use crate::record::{ChainHash, RequestOutcome, RequestRecord, chain_hash, first_hash};
 pub use crate::segment::{
-    RecordFault, RecordSegment, SegmentError, VerifiedRecords, verify_segments,
+    RecordFault, RecordSegment, SegmentError, VerifiedRecords, remove_written, verify_segments,
 };
--- a/crates/records/src/segment.rs
+++ b/crates/records/src/segment.rs
@@ -1,5 +1,7 @@
 //! A stretch of one chain, as the store holds it.
 
+use std::sync::Arc;
+
 use std::collections::BTreeMap;
 
 use compact_str::CompactString;
@@ -127,6 +129,20 @@
     pub heads: BTreeMap<CompactString, (u64, ChainHash)>,
 }
 
+/// Removes segments that were written, and returns what they weighed, in bytes.
+///
+/// By identity and not by count: two flushes may have written the same
+/// segments, and the second one must not remove what came after them.
+pub fn remove_written(held: &mut Vec<Arc<RecordSegment>>, written: &[Arc<RecordSegment>]) -> usize {
+    let mut weight = 0;
+    held.retain(|segment| {
+        let stays = !written.iter().any(|other| Arc::ptr_eq(other, segment));
+        weight += if stays { 0 } else { segment.weight() };
+        stays
+    });
+    weight
+}
+
 /// Checks the chains of one customer. The same segment may come twice, as from
 /// a host and from its witness.
 ///
--- a/crates/records/tests/chains.rs
+++ b/crates/records/tests/chains.rs
@@ -1,9 +1,11 @@
 //! A record that was altered, dropped or swapped is found.
 
 use fulmarrill_records::{
-    RecordChain, RecordFault, RecordSegment, RequestOutcome, RequestRecord, verify_segments,
+    RecordChain, RecordFault, RecordSegment, RequestOutcome, RequestRecord, remove_written,
+    verify_segments,
 };
 use rstest::rstest;
+use std::sync::Arc;
 
 /// Three segments of four records each.
 fn segments() -> Vec<RecordSegment> {
@@ -89,3 +91,16 @@
     }
     assert!(RecordSegment::unpack(b"nonsense").is_err());
 }
+
+/// Found by CI beside load: a host that left flushed beside its regular
+/// flush, and the second removal took more than was there.
+#[test]
+fn two_flushes_of_the_same_segments_remove_nothing_else() {
+    let mut held: Vec<_> = segments().into_iter().map(Arc::new).collect();
+    let batch = held[..2].to_vec();
+    let weight: usize = batch.iter().map(|segment| segment.weight()).sum();
+    assert_eq!(remove_written(&mut held, &batch), weight);
+    assert_eq!(remove_written(&mut held, &batch), 0);
+    assert_eq!(held.len(), 1);
+    assert_eq!(held[0].next_sequence(), 13);
+}
