Instances of the stand-in answer while they run a long statement

Cause: large_results_and_errors_arrive_whole (KNOWN-RED): each stand-in ran on one thread at a time and shared two with all hosts, so that an insert of 3,000 rows silenced the primary for more than the 500 ms after which it is replaced. A real server answers its other sessions meanwhile. Change: stand-ins have a pool of threads of their own, four of which one instance may use; the status is reported when the state is let go and read without waiting.

--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -12,21 +12,20 @@
 
 mod cell;
 mod deadline;
+mod pool;
 
 use std::future::Future;
-use std::sync::OnceLock;
-use std::thread;
 
-use smol::{Executor, Task};
+use smol::Task;
 
 pub use crate::cell::PublishedCell;
 pub use crate::deadline::{Elapsed, before};
+pub use crate::pool::ThreadPool;
 
 /// Threads of an executor that was not started explicitly.
 const THREADS_DEFAULT: usize = 2;
 
-static EXECUTOR: Executor<'static> = Executor::new();
-static STARTED: OnceLock<usize> = OnceLock::new();
+static TRAFFIC: ThreadPool = ThreadPool::new("traffic");
 
 /// Starts the threads that run tasks. Only the first call has an effect.
 ///
@@ -34,19 +33,11 @@
 ///
 /// When the system refuses a thread.
 pub fn start_threads(count: usize) {
-    STARTED.get_or_init(|| {
-        for index in 0..count.max(1) {
-            thread::Builder::new()
-                .name(format!("traffic-{index}"))
-                .spawn(|| smol::block_on(EXECUTOR.run(std::future::pending::<()>())))
-                .expect("the system refused a thread");
-        }
-        count
-    });
+    TRAFFIC.start_threads(count);
 }
 
 /// Runs a task on the traffic threads. Dropping the handle ends the task.
 pub fn spawn<T: Send + 'static>(future: impl Future<Output = T> + Send + 'static) -> Task<T> {
-    start_threads(THREADS_DEFAULT);
-    EXECUTOR.spawn(future)
+    TRAFFIC.start_threads(THREADS_DEFAULT);
+    TRAFFIC.spawn(future)
 }
--- a/crates/standin/src/database.rs
+++ b/crates/standin/src/database.rs
@@ -16,6 +16,7 @@
 
 use compact_str::CompactString;
 use fulmarrill_pg::{ErrorReport, MessageStream, encode_backend, sqlstate};
+use fulmarrill_runtime::ThreadPool;
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 use thiserror::Error;
@@ -107,13 +108,22 @@
     Engine(#[from] EngineError),
 }
 
+/// Threads of all instances in this process: an instance blocks one while the
+/// embedded engine runs a statement, and must not block a host by that.
+static ENGINE_THREADS: ThreadPool = ThreadPool::new("engine");
+/// Number of these: as many as the three instances of one database use.
+const ENGINE_THREAD_COUNT: usize = 3 * INSTANCE_THREADS;
+/// Threads that one instance uses at the same time: a long statement, a pull of
+/// each of two replicas that waits for its end, and one for everybody else.
+const INSTANCE_THREADS: usize = 4;
+
 /// A running instance. Dropping it closes the listener, every connection and
 /// all of its memory, as a killed process would.
 #[derive(Debug)]
 pub struct DatabaseStandin {
     address: SocketAddr,
     state: Arc<InstanceState>,
-    task: smol::Task<()>,
+    tasks: Vec<smol::Task<()>>,
 }
 
 impl DatabaseStandin {
@@ -140,11 +150,20 @@
             connect_time: options.connect_time,
             open: Arc::new(AtomicUsize::new(0)),
         };
-        let task = fulmarrill_runtime::spawn(run_instance(accept));
+        ENGINE_THREADS.start_threads(ENGINE_THREAD_COUNT);
+        // The tasks belong to an executor of the instance's own, so that dropping
+        // it ends them all.
+        let executor = Arc::new(smol::Executor::new());
+        let mut tasks = vec![ENGINE_THREADS.spawn(run_instance(executor.clone(), accept))];
+        for _ in 1..INSTANCE_THREADS {
+            let executor = executor.clone();
+            let running = async move { executor.run(std::future::pending()).await };
+            tasks.push(ENGINE_THREADS.spawn(running));
+        }
         Ok(Self {
             address,
             state,
-            task,
+            tasks,
         })
     }
 
@@ -185,7 +204,9 @@
 
     /// Runs until the process ends.
     pub async fn wait(self) {
-        self.task.await;
+        for task in self.tasks {
+            task.await;
+        }
     }
 }
 
@@ -209,10 +230,8 @@
     }
 }
 
-/// Runs everything of one instance on the shared threads. The tasks belong to
-/// an executor of the instance's own, so that dropping it ends them all.
-async fn run_instance(accept: AcceptLoop) {
-    let executor = Arc::new(smol::Executor::new());
+/// Runs everything of one instance on its executor.
+async fn run_instance(executor: Arc<smol::Executor<'static>>, accept: AcceptLoop) {
     executor
         .spawn(replication::receive_loop(accept.state.clone()))
         .detach();
--- a/crates/standin/src/database/instance.rs
+++ b/crates/standin/src/database/instance.rs
@@ -1,6 +1,7 @@
 //! The state of one instance: role, terms, log and what is applied of it.
 
 use std::collections::BTreeMap;
+use std::ops::{Deref, DerefMut};
 use std::sync::atomic::{AtomicI32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -119,6 +120,40 @@
     statement_time: Duration,
 }
 
+/// What an instance says of itself, whether it streams left out.
+#[derive(Debug, Clone, Copy)]
+struct ReportedStatus {
+    status: InstanceStatus,
+    heard_upstream_at: Option<Instant>,
+}
+
+/// Holds the state, and reports it when it is let go.
+struct StateGuard<'a> {
+    inner: MutexGuard<'a, InstanceInner>,
+    reported: &'a Mutex<ReportedStatus>,
+}
+
+impl Deref for StateGuard<'_> {
+    type Target = InstanceInner;
+
+    fn deref(&self) -> &InstanceInner {
+        &self.inner
+    }
+}
+
+impl DerefMut for StateGuard<'_> {
+    fn deref_mut(&mut self) -> &mut InstanceInner {
+        &mut self.inner
+    }
+}
+
+impl Drop for StateGuard<'_> {
+    fn drop(&mut self) {
+        let mut reported = self.reported.lock().unwrap_or_else(PoisonError::into_inner);
+        *reported = self.inner.report();
+    }
+}
+
 /// One instance, shared by its sessions and its replication tasks.
 #[derive(Debug)]
 pub struct InstanceState {
@@ -126,6 +161,9 @@
     /// Statements that run at the same time.
     pub slots: Semaphore,
     inner: Mutex<InstanceInner>,
+    /// What was true when `inner` was last let go. A server answers for its
+    /// position while it runs a long statement, so nobody waits for that.
+    reported: Mutex<ReportedStatus>,
     changed: Event,
     /// Ends sessions, by process id.
     sessions: Mutex<BTreeMap<i32, Arc<Event>>>,
@@ -163,6 +201,7 @@
         Ok(Self {
             engine_name,
             slots: Semaphore::new(slots),
+            reported: Mutex::new(inner.report()),
             inner: Mutex::new(inner),
             changed: Event::new(),
             sessions: Mutex::default(),
@@ -171,8 +210,15 @@
         })
     }
 
-    fn lock(&self) -> MutexGuard<'_, InstanceInner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> StateGuard<'_> {
+        StateGuard {
+            inner: self.inner.lock().unwrap_or_else(PoisonError::into_inner),
+            reported: &self.reported,
+        }
+    }
+
+    fn reported(&self) -> ReportedStatus {
+        *self.reported.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn sessions(&self) -> MutexGuard<'_, BTreeMap<i32, Arc<Event>>> {
@@ -243,18 +289,13 @@
     /// What the instance reports.
     #[must_use]
     pub fn status(&self) -> InstanceStatus {
-        let inner = self.lock();
-        let streaming = inner.role == InstanceRole::Replica
-            && inner
-                .heard_upstream_at
-                .is_some_and(|at| at.elapsed() < STREAMING_TIME);
+        let reported = self.reported();
+        let heard = reported.heard_upstream_at;
+        let streaming = reported.status.role == InstanceRole::Replica
+            && heard.is_some_and(|at| at.elapsed() < STREAMING_TIME);
         InstanceStatus {
-            role: inner.role,
-            fence_term: inner.fence_term,
-            received: inner.point_at(inner.log.len()),
-            applied: inner.point_at(inner.applied),
             streaming,
-            matched: inner.matched,
+            ..reported.status
         }
     }
 
@@ -550,6 +591,20 @@
 }
 
 impl InstanceInner {
+    fn report(&self) -> ReportedStatus {
+        ReportedStatus {
+            status: InstanceStatus {
+                role: self.role,
+                fence_term: self.fence_term,
+                received: self.point_at(self.log.len()),
+                applied: self.point_at(self.applied),
+                streaming: false,
+                matched: self.matched,
+            },
+            heard_upstream_at: self.heard_upstream_at,
+        }
+    }
+
     fn leads(&self) -> bool {
         self.role == InstanceRole::Primary && self.serving_term == self.fence_term
     }
