--- a/crates/proxy/src/codec.rs
+++ b/crates/proxy/src/codec.rs
@@ -91,6 +91,25 @@
                 | Self::NotPrepared
         )
     }
+
+    /// Its name in logs, metrics and records.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Busy => "busy",
+            Self::Aborted => "aborted",
+            Self::Behind => "behind",
+            Self::ReadOnly => "read_only",
+            Self::Misrouted => "misrouted",
+            Self::TooManyConnections => "too_many_connections",
+            Self::NotPrepared => "not_prepared",
+            Self::Failed => "failed",
+            Self::TimedOut => "timed_out",
+            Self::InDoubt => "in_doubt",
+            Self::NoDatabase => "no_database",
+            Self::Malformed => "malformed",
+        }
+    }
 }
 
 /// A message to a caller.
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -8,12 +8,15 @@
 use compact_str::CompactString;
 use event_listener::Event;
 
+use fulmarrill_runtime::PublishedCell;
+
 use crate::catalogue::{HostName, RunName};
 use crate::clock::BootTime;
 use crate::codec::CallerCodec;
 use crate::entry::EntryState;
 use crate::owner::OwnerTable;
 use crate::peers::pool::PeerPool;
+use crate::records::RecordKeeper;
 use crate::relay::StoreSight;
 use crate::report::StatementLog;
 use crate::view::{TrafficView, ViewCell};
@@ -50,8 +53,12 @@
     pub owners: OwnerTable,
     /// What the entry knows.
     pub entry: EntryState,
+    /// Addresses of other hosts, to ask while the store does not answer.
+    pub seeds: PublishedCell<Vec<CompactString>>,
     /// Counts and reports statements.
     pub statements: StatementLog,
+    /// Customers' records of requests.
+    pub records: RecordKeeper,
     /// When the store was heard of last.
     pub store: StoreSight,
     leaving: AtomicBool,
@@ -76,7 +83,9 @@
             peers: PeerPool::new(&place.host),
             owners: OwnerTable::new(databases, view.clone()),
             entry: EntryState::new(),
+            seeds: PublishedCell::new(Vec::new()),
             statements: StatementLog::new(),
+            records: RecordKeeper::new(&place.run),
             store: StoreSight::new(Instant::now()),
             leaving: AtomicBool::new(false),
             closing: AtomicBool::new(false),
@@ -121,6 +130,7 @@
             "terms": terms,
             "sessions": self.entry.session_count(),
             "owned": self.owners.dump(),
+            "records": self.records.dump(),
         })
     }
 
--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -17,6 +17,7 @@
 use crate::context::SharedContext;
 use crate::entry::reads::{read_floor, run_read};
 use crate::entry::router::{RoutedAnswer, send_to_host, send_work};
+use crate::records::EndedRequest;
 use crate::report::{StatementReport, StatementStart};
 use crate::statement::{
     CallerStatement, PreparedName, PreparedShape, SessionValues, StatementId, TransactionState,
@@ -33,6 +34,9 @@
 /// Time for rolling back what a caller left open.
 const ABANDON_TIME: Duration = Duration::from_secs(1);
 
+/// What a caller is told that ends a transaction without having one.
+const NO_TRANSACTION: &str = "no transaction is open";
+
 /// Why a session ended other than by the caller's wish.
 #[derive(Debug, Error)]
 pub enum SessionError {
@@ -73,6 +77,7 @@
     input: BytesMut,
     output: Vec<u8>,
     endpoint: Arc<EndpointEntry>,
+    customer: CompactString,
     values: SessionValues,
     prepared: HashMap<PreparedName, PreparedShape>,
     own_point: Option<LogPoint>,
@@ -96,6 +101,7 @@
             statement_time: Duration::ZERO,
             rank: 0,
         }),
+        customer: CompactString::default(),
         values: SessionValues::default(),
         prepared: HashMap::new(),
         own_point: None,
@@ -109,9 +115,10 @@
 
 impl CallerSession {
     async fn serve(&mut self) -> Result<(), SessionError> {
-        let Some(CallerMessage::Startup { endpoint, .. }) = self.read_message().await? else {
+        let Some(CallerMessage::Startup { endpoint, caller }) = self.read_message().await? else {
             return Ok(());
         };
+        self.customer = caller;
         if let Err(kind) = self.find_endpoint(&endpoint).await {
             self.reply(&CallerReply::Error(kind, endpoint));
             self.flush().await?;
@@ -247,18 +254,27 @@
             CallerStatement::Commit | CallerStatement::Rollback
         );
         if matches!(self.transaction, SessionTransaction::Failed) && !ends {
-            self.refuse(ErrorKind::Malformed, "the transaction has failed");
+            let why = "the transaction has failed";
+            self.refuse_statement(&id, &statement, ErrorKind::Malformed, why);
             return;
         }
-        if matches!(self.transaction, SessionTransaction::Idle) && !self.refresh_endpoint() {
+        let is_first = matches!(self.transaction, SessionTransaction::Idle);
+        if is_first && !self.refresh_endpoint() {
             let name = self.endpoint.name.clone();
-            self.refuse(ErrorKind::NoDatabase, &name);
+            self.refuse_statement(&id, &statement, ErrorKind::NoDatabase, &name);
+            return;
+        }
+        if is_first && self.context.records.refuses(self.endpoint.rank) {
+            let why = "no record of the request can be kept";
+            self.refuse_statement(&id, &statement, ErrorKind::Busy, why);
             return;
         }
         match statement {
             CallerStatement::Begin { reads_only } => self.begin(reads_only),
             CallerStatement::Commit => self.commit(id).await,
-            CallerStatement::Rollback => self.roll_back(),
+            CallerStatement::Rollback => {
+                self.roll_back(&id);
+            }
             CallerStatement::Set { name, value } => {
                 Arc::make_mut(&mut self.values).insert(name, value);
                 self.succeed();
@@ -279,11 +295,15 @@
                 let writes = true;
                 self.run(WorkStatement::Text { id, writes, text }).await;
             }
-            CallerStatement::Execute { name, arguments } => {
-                let Some(shape) = self.prepared.get(&name).cloned() else {
-                    self.refuse(ErrorKind::NotPrepared, &name);
+            CallerStatement::Execute {
+                ref name,
+                ref arguments,
+            } => {
+                let Some(shape) = self.prepared.get(name).cloned() else {
+                    self.refuse_statement(&id, &statement, ErrorKind::NotPrepared, name);
                     return;
                 };
+                let arguments = arguments.clone();
                 self.run(WorkStatement::Prepared {
                     id,
                     shape,
@@ -294,6 +314,29 @@
         }
     }
 
+    /// Notes a request in its customer's record.
+    fn note(&self, id: &StatementId, statement: &CompactString, error: Option<ErrorKind>) {
+        self.context.records.note(&EndedRequest {
+            customer: &self.customer,
+            endpoint: &self.endpoint.name,
+            id,
+            statement,
+            error,
+        });
+    }
+
+    /// Refuses a statement that was sent nowhere.
+    fn refuse_statement(
+        &mut self,
+        id: &StatementId,
+        statement: &CallerStatement,
+        kind: ErrorKind,
+        text: &str,
+    ) {
+        self.note(id, &statement.text(), Some(kind));
+        self.refuse(kind, text);
+    }
+
     fn begin(&mut self, reads_only: bool) {
         if !matches!(self.transaction, SessionTransaction::Idle) {
             self.refuse(ErrorKind::Malformed, "a transaction is already open");
@@ -306,21 +349,25 @@
     async fn commit(&mut self, id: StatementId) {
         match self.transaction {
             SessionTransaction::Idle => {
-                self.refuse(ErrorKind::Malformed, "no transaction is open");
+                let statement = CallerStatement::Commit;
+                self.refuse_statement(&id, &statement, ErrorKind::Malformed, NO_TRANSACTION);
             }
             SessionTransaction::Failed => {
                 self.transaction = SessionTransaction::Idle;
-                self.refuse(ErrorKind::Aborted, "the transaction was rolled back");
+                let (statement, why) = (CallerStatement::Commit, "the transaction was rolled back");
+                self.refuse_statement(&id, &statement, ErrorKind::Aborted, why);
             }
             _ => self.run(WorkStatement::Commit(id)).await,
         }
     }
 
-    fn roll_back(&mut self) {
+    fn roll_back(&mut self, id: &StatementId) {
+        let statement = CallerStatement::Rollback;
         if matches!(self.transaction, SessionTransaction::Idle) {
-            self.refuse(ErrorKind::Malformed, "no transaction is open");
+            self.refuse_statement(id, &statement, ErrorKind::Malformed, NO_TRANSACTION);
             return;
         }
+        self.note(id, &statement.text(), None);
         self.abandon();
         self.succeed();
     }
@@ -351,6 +398,7 @@
             deadline: Instant::now() + self.endpoint.statement_time,
             values: self.values.clone(),
             after: None,
+            customer: self.customer.clone(),
             step,
             statement,
         }
@@ -362,6 +410,7 @@
         let writes = statement.writes();
         let start = StatementStart {
             id: statement.id(),
+            text: statement.text(),
             started_at: Instant::now(),
         };
         let routed = match self.transaction.clone() {
@@ -419,6 +468,7 @@
     ) {
         let told = explain(&routed.answer, writes);
         self.report(start, &routed, told.as_ref());
+        self.note(&start.id, &start.text, told.as_ref().map(|(kind, _)| *kind));
         if let Some((kind, text)) = told {
             let in_transaction = !matches!(self.transaction, SessionTransaction::Idle);
             self.transaction = if in_transaction && !commits {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod owner;
 pub mod peers;
 pub mod port;
+pub mod records;
 pub mod relay;
 pub mod report;
 pub mod server;
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use fulmarrill_position::{LogPoint, Term};
-use fulmarrill_schedule::{RankIndex, RankPolicy};
+use fulmarrill_schedule::RankPolicy;
 use fulmarrill_slots::{SlotGate, SlotGrant};
 use futures_lite::FutureExt;
 
@@ -113,6 +113,12 @@
         &self.instance.id
     }
 
+    /// Pieces of work that the instance answered.
+    #[must_use]
+    pub fn served(&self) -> u64 {
+        self.served.load(Ordering::Relaxed)
+    }
+
     /// Whether this is the same run of the same instance.
     #[must_use]
     pub fn is_same(&self, instance: &InstanceEntry) -> bool {
@@ -132,12 +138,6 @@
         open > idle || self.gate.waiting() > 0
     }
 
-    /// Time until new work of a rank would start.
-    #[must_use]
-    pub fn expected_wait(&self, rank: RankIndex) -> Duration {
-        self.gate.expected_wait(rank)
-    }
-
     /// Sends commands and takes their answers, and notes that the instance was
     /// heard of.
     async fn exchange(
@@ -530,7 +530,7 @@
             "running": self.gate.running(),
             "waiting": self.gate.waiting(),
             "transactions": self.pins().len(),
-            "served": self.served.load(Ordering::Relaxed),
+            "served": self.served(),
         })
     }
 }
--- a/crates/proxy/src/peers/wire.rs
+++ b/crates/proxy/src/peers/wire.rs
@@ -82,6 +82,8 @@
     values: BTreeMap<CompactString, CompactString>,
     #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
     after: Option<WirePoint>,
+    #[serde(rename = "u", default)]
+    customer: CompactString,
     #[serde(rename = "s")]
     step: WireStep,
     #[serde(rename = "q")]
@@ -98,6 +100,7 @@
             time_left: millis(request.deadline.saturating_duration_since(Instant::now())),
             values: Arc::unwrap_or_clone(request.values),
             after: request.after.map(to_wire),
+            customer: request.customer,
             step: match request.step {
                 WorkStep::Single => WireStep::Single,
                 WorkStep::Begin { reads_only } => WireStep::Begin(reads_only),
@@ -127,6 +130,7 @@
             deadline: Instant::now() + from_millis(wire.time_left),
             values: Arc::new(wire.values),
             after: wire.after.map(from_wire),
+            customer: wire.customer,
             step: match wire.step {
                 WireStep::Single => WorkStep::Single,
                 WireStep::Begin(reads_only) => WorkStep::Begin { reads_only },
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -222,16 +222,12 @@
 }
 
 /// All other hosts in random order, those that were out of reach last.
-fn any_hosts(
-    context: &SharedContext,
-    view: &TrafficView,
-    seeds: &[CompactString],
-) -> Vec<CompactString> {
+fn any_hosts(context: &SharedContext, view: &TrafficView) -> Vec<CompactString> {
     let mut addresses: Vec<CompactString> = Vec::new();
     for host in view.hosts.values() {
         addresses.push(host.address.clone());
     }
-    addresses.extend(seeds.iter().cloned());
+    addresses.extend(context.seeds.load().iter().cloned());
     addresses.retain(|address| *address != context.place.address);
     addresses.sort();
     addresses.dedup();
@@ -241,8 +237,8 @@
 }
 
 /// Follows other hosts where there is one to follow, for as long as the task
-/// lives. `seeds` are addresses to begin with.
-pub async fn run_relay(context: SharedContext, control: ControlSender, seeds: Vec<CompactString>) {
+/// lives.
+pub async fn run_relay(context: SharedContext, control: ControlSender) {
     Timer::after(START_TIME).await;
     loop {
         let next_at = Instant::now() + FOLLOW_INTERVAL;
@@ -254,7 +250,7 @@
         context.store.set_wanted(true);
         if context.store.is_overdue(Instant::now()) {
             let view = context.view.load();
-            for address in any_hosts(&context, &view, &seeds) {
+            for address in any_hosts(&context, &view) {
                 if ask(&context, &control, &address, Duration::ZERO).await {
                     break;
                 }
--- a/crates/proxy/src/report.rs
+++ b/crates/proxy/src/report.rs
@@ -145,7 +145,7 @@
 
     /// Counts a statement and writes a line about it if there is room.
     pub fn note(&self, report: &StatementReport<'_>) {
-        let outcome = report.error.map_or("served", name_of);
+        let outcome = report.error.map_or("served", ErrorKind::name);
         let rank = i64::try_from(report.rank).unwrap_or(i64::MAX);
         let place = if report.lead.is_some() {
             "primary"
@@ -199,29 +199,13 @@
     );
 }
 
-/// The name of an outcome in logs and metrics.
-fn name_of(kind: ErrorKind) -> &'static str {
-    match kind {
-        ErrorKind::Busy => "busy",
-        ErrorKind::Aborted => "aborted",
-        ErrorKind::Behind => "behind",
-        ErrorKind::ReadOnly => "read_only",
-        ErrorKind::Misrouted => "misrouted",
-        ErrorKind::TooManyConnections => "too_many_connections",
-        ErrorKind::NotPrepared => "not_prepared",
-        ErrorKind::Failed => "failed",
-        ErrorKind::TimedOut => "timed_out",
-        ErrorKind::InDoubt => "in_doubt",
-        ErrorKind::NoDatabase => "no_database",
-        ErrorKind::Malformed => "malformed",
-    }
-}
-
 /// What a report needs of a statement before it is run.
 #[derive(Debug, Clone)]
 pub struct StatementStart {
     /// The caller's identifier.
     pub id: CompactString,
+    /// What it asks for, for the customer's record.
+    pub text: CompactString,
     /// When it arrived.
     pub started_at: Instant,
 }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -16,6 +16,7 @@
 use crate::control::{ControlAction, ControlEvent, ControlState};
 use crate::entry::session::serve_caller;
 use crate::peers::{LINK_TIMING, ProxyCall, ProxyProtocol, ProxyReply};
+use crate::records::WitnessNote;
 use crate::relay::{answer_question, run_relay};
 
 /// Time between two rounds of upkeep; idle transactions end that much late.
@@ -147,7 +148,10 @@
 /// Answers other hosts on `listener` until the task is dropped.
 pub async fn answer_peers(context: SharedContext, listener: TcpListener, control: ControlSender) {
     let for_close = context.clone();
-    let on_close = move |host: CompactString| for_close.owners.drop_pins_of(&host);
+    let on_close = move |host: CompactString| {
+        for_close.owners.drop_pins_of(&host);
+        for_close.records.note_link_closed(&host, Instant::now());
+    };
     let handler = move |from: CompactString, call: ProxyCall| {
         let (context, control) = (context.clone(), control.clone());
         async move { answer_call(&context, &control, &from, call).await }
@@ -168,7 +172,15 @@
     call: ProxyCall,
 ) -> ProxyReply {
     match call {
-        ProxyCall::Run(request) => ProxyReply::Work(context.owners.run(from, *request).await),
+        ProxyCall::Run(request) => {
+            let note = WitnessNote::new(&request);
+            let answer = context.owners.run(from, *request).await;
+            // A host that is not listed yet keeps its records alone.
+            if let Some(host) = context.view.load().hosts.get(from) {
+                context.records.witness(host, Instant::now(), note, &answer);
+            }
+            ProxyReply::Work(answer)
+        }
         ProxyCall::Position(database) => {
             let known = context.owners.primary_position(&database).await;
             ProxyReply::Position(known.map(|(as_of, point)| (as_of.elapsed(), point)))
@@ -215,6 +227,7 @@
         Timer::after(UPKEEP_INTERVAL).await;
         let now = Instant::now();
         context.owners.upkeep(now);
+        context.records.upkeep(now);
         let down = context.owners.down(now);
         if down != known {
             log::warn!("instances that cannot be reached: {down:?}");
@@ -227,20 +240,18 @@
     }
 }
 
-/// Starts the tasks of a host. `seeds` are addresses of other hosts, to ask
-/// while the store does not answer.
+/// Starts the tasks of a host.
 #[must_use]
 pub fn start_traffic(
     context: &SharedContext,
     callers: TcpListener,
     peers: TcpListener,
     control: ControlSender,
-    seeds: Vec<CompactString>,
 ) -> Vec<Task<()>> {
     vec![
         fulmarrill_runtime::spawn(accept_callers(context.clone(), callers)),
         fulmarrill_runtime::spawn(answer_peers(context.clone(), peers, control.clone())),
         fulmarrill_runtime::spawn(run_upkeep(context.clone(), control.clone())),
-        fulmarrill_runtime::spawn(run_relay(context.clone(), control, seeds)),
+        fulmarrill_runtime::spawn(run_relay(context.clone(), control)),
     ]
 }
--- a/crates/proxy/src/statement.rs
+++ b/crates/proxy/src/statement.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
 
 /// Identifier that a caller gave to one statement.
@@ -68,6 +68,23 @@
     },
 }
 
+impl CallerStatement {
+    /// What is asked for, for the customer's record.
+    #[must_use]
+    pub fn text(&self) -> CompactString {
+        match self {
+            Self::Begin { .. } => CompactString::const_new("begin"),
+            Self::Commit => CompactString::const_new("commit"),
+            Self::Rollback => CompactString::const_new("rollback"),
+            Self::Read(text) | Self::Write(text) => text.clone(),
+            Self::Set { name, value } => format_compact!("set {name} {value}"),
+            Self::Prepare { name, shape } => format_compact!("prepare {name} {}", shape.text),
+            Self::Execute { name, arguments } => format_compact!("execute {name} {arguments}"),
+            Self::Deallocate { name } => format_compact!("deallocate {name}"),
+        }
+    }
+}
+
 /// State of a session's transaction, as it is told to callers and by
 /// instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/proxy/src/work.rs
+++ b/crates/proxy/src/work.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use fulmarrill_position::{DatabaseName, LogPoint, Term};
 use fulmarrill_schedule::RankIndex;
 
@@ -67,6 +67,19 @@
         }
     }
 
+    /// What is asked for, for the customer's record.
+    #[must_use]
+    pub fn text(&self) -> CompactString {
+        match self {
+            Self::Text { text, .. } => text.clone(),
+            Self::Prepared {
+                shape, arguments, ..
+            } => format_compact!("{} {arguments}", shape.text),
+            Self::Commit(_) => CompactString::const_new("commit"),
+            Self::Rollback => CompactString::const_new("rollback"),
+        }
+    }
+
     /// Whether the statement may leave something behind by itself.
     #[must_use]
     pub fn writes(&self) -> bool {
@@ -96,6 +109,8 @@
     pub values: SessionValues,
     /// Position that the instance's log must have.
     pub after: Option<LogPoint>,
+    /// Customer on whose behalf it runs.
+    pub customer: CompactString,
     /// Place in a transaction.
     pub step: WorkStep,
     /// The statement.
--- /dev/null
+++ b/crates/proxy/tests/records.rs
@@ -0,0 +1,124 @@
+//! Which requests of other hosts an owner notes in its own journal.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use fulmarrill_proxy::catalogue::HostEntry;
+use fulmarrill_proxy::records::{RecordKeeper, SegmentWriter, WitnessNote};
+use fulmarrill_proxy::statement::SessionValues;
+use fulmarrill_proxy::work::{NotRunReason, WorkAnswer, WorkRequest, WorkStatement, WorkStep};
+use fulmarrill_records::{JournalRecord, JournalSegment};
+use rstest::rstest;
+
+fn host(run: &str) -> HostEntry {
+    HostEntry {
+        name: "h2".into(),
+        run: run.into(),
+        address: "127.0.0.1:1".into(),
+        data_centre: "kosice-a".into(),
+        region: "vychod".into(),
+    }
+}
+
+fn note(id: &str) -> WitnessNote {
+    WitnessNote::new(&WorkRequest {
+        database: "registry-1".into(),
+        instance: "i-a".into(),
+        lead: Some(1),
+        rank: 0,
+        deadline: Instant::now(),
+        values: SessionValues::default(),
+        after: None,
+        customer: "stall-7".into(),
+        step: WorkStep::Single,
+        statement: WorkStatement::Text {
+            id: id.into(),
+            writes: true,
+            text: "write k v".into(),
+        },
+    })
+}
+
+fn served() -> WorkAnswer {
+    WorkAnswer::Served {
+        rows: Vec::new(),
+        proof: "proof".into(),
+        point: None,
+        pin: None,
+    }
+}
+
+/// What the keeper writes to a store that takes everything.
+fn written(keeper: &RecordKeeper) -> Vec<JournalRecord> {
+    let segments: Arc<Mutex<Vec<Arc<JournalSegment>>>> = Arc::default();
+    let for_writer = segments.clone();
+    let writer: SegmentWriter = Box::new(move |segment| {
+        for_writer.lock().unwrap().push(segment);
+        Box::pin(async { true })
+    });
+    assert!(smol::block_on(keeper.flush(&writer)));
+    let segments = segments.lock().unwrap();
+    segments
+        .iter()
+        .flat_map(|segment| segment.records().unwrap())
+        .collect()
+}
+
+#[test]
+fn requests_of_a_host_whose_link_stays_closed_are_noted() {
+    let keeper = RecordKeeper::new(&"h1~1".into());
+    let now = Instant::now();
+    keeper.witness(&host("h2~1"), now, note("q1"), &served());
+    keeper.note_link_closed("h2", now);
+    keeper.upkeep(now + Duration::from_secs(4));
+    assert!(written(&keeper).is_empty());
+    keeper.upkeep(now + Duration::from_secs(6));
+    let records = written(&keeper);
+    assert_eq!(records.len(), 1);
+    assert_eq!(
+        (records[0].id.as_str(), records[0].noted_for.as_str()),
+        ("q1", "h2~1")
+    );
+    keeper.upkeep(now + Duration::from_secs(7));
+    assert!(written(&keeper).is_empty());
+}
+
+#[test]
+fn host_that_sends_more_work_keeps_its_own_journal() {
+    let keeper = RecordKeeper::new(&"h1~1".into());
+    let now = Instant::now();
+    keeper.witness(&host("h2~1"), now, note("q1"), &served());
+    keeper.note_link_closed("h2", now);
+    keeper.witness(&host("h2~1"), now, note("q2"), &served());
+    keeper.upkeep(now + Duration::from_secs(10));
+    keeper.upkeep(now + Duration::from_secs(60));
+    keeper.note_link_closed("h2", now + Duration::from_secs(60));
+    keeper.upkeep(now + Duration::from_secs(70));
+    assert!(written(&keeper).is_empty());
+}
+
+/// A later run of the same host does not stand for the one before it.
+#[test]
+fn requests_of_an_earlier_run_are_noted_although_a_later_one_works() {
+    let keeper = RecordKeeper::new(&"h1~1".into());
+    let now = Instant::now();
+    keeper.witness(&host("h2~1"), now, note("q1"), &served());
+    keeper.note_link_closed("h2", now);
+    keeper.witness(&host("h2~2"), now, note("q2"), &served());
+    keeper.upkeep(now + Duration::from_secs(10));
+    let records = written(&keeper);
+    assert_eq!(records.len(), 1);
+    assert_eq!(records[0].noted_for, "h2~1");
+}
+
+#[rstest]
+#[case::not_run(WorkAnswer::NotRun(NotRunReason::Overload), 0)]
+#[case::unknown(WorkAnswer::Unknown, 1)]
+fn only_what_may_have_run_is_witnessed(#[case] answer: WorkAnswer, #[case] expected: usize) {
+    let keeper = RecordKeeper::new(&"h1~1".into());
+    let now = Instant::now();
+    keeper.witness(&host("h2~1"), now, note("q1"), &answer);
+    keeper.note_link_closed("h2", now);
+    keeper.upkeep(now + Duration::from_secs(10));
+    assert_eq!(written(&keeper).len(), expected);
+}
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -14,13 +14,18 @@
 //! the hash of the one before it, so that a record that was altered, dropped
 //! or swapped breaks the chain at a place that can be named. Chains are cut
 //! into segments, which are what the store holds.
+//!
+//! [`RequestJournal`] does the same with one chain of compressed blocks for all
+//! customers of a host.
 
 mod chain;
+mod journal;
 mod limit;
 mod record;
 mod segment;
 
 pub use crate::chain::RecordChain;
+pub use crate::journal::{JournalRecord, JournalSegment, JournalVerifier, RequestJournal};
 pub use crate::limit::RecordLimit;
 pub use crate::record::{ChainHash, RequestOutcome, RequestRecord, chain_hash, first_hash};
 pub use crate::segment::{
--- a/crates/records/src/segment.rs
+++ b/crates/records/src/segment.rs
@@ -36,6 +36,9 @@
     /// The content has another form.
     #[error("segment cannot be read: {0}")]
     Form(#[from] serde_json::Error),
+    /// A block of a journal has another form, or cannot be made.
+    #[error("block of a journal: {0}")]
+    Block(CompactString),
 }
 
 impl RecordSegment {
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -34,7 +34,7 @@
         } => operate::apply(&host, version, &file),
         Command::Status { host } => operate::show(&host, "/status"),
         Command::State { address } => operate::show(&address, "/state"),
-        Command::Export { platform, customer } => export::run(&platform, &customer),
+        Command::Export { source, customer } => export::run(&source, &customer),
         Command::Replay { traces } => replay::run(&traces),
         Command::StandinPlatform { listen } => standin::run_platform(&listen),
         Command::StandinDatabase {
--- a/src/commands/export.rs
+++ b/src/commands/export.rs
@@ -4,9 +4,11 @@
 use std::time::{Duration, Instant};
 
 use fulmarrill_objects::PlatformClient;
+use fulmarrill_platform::read_customer;
 use fulmarrill_records::{RecordSegment, verify_segments};
 
 use crate::error::CommandError;
+use crate::flags::ExportSource;
 
 /// Kind of the objects that hold segments.
 const RECORD_KIND: &str = "record";
@@ -14,7 +16,41 @@
 const STORE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Writes the record to standard output and its heads to standard error.
-pub fn run(platform: &str, customer: &str) -> Result<(), CommandError> {
+pub fn run(source: &ExportSource, customer: &str) -> Result<(), CommandError> {
+    match source {
+        ExportSource::Platform(address) => export_chains(address, customer),
+        ExportSource::Store(address) => export_journals(address, customer),
+    }
+}
+
+/// Writes what the journals of all hosts have of a customer; faults are named
+/// behind it, so that one of them hides nothing.
+fn export_journals(address: &str, customer: &str) -> Result<(), CommandError> {
+    let record = smol::block_on(read_customer(address, customer))?;
+    let mut out = std::io::stdout().lock();
+    for (run, request) in &record.requests {
+        let line = serde_json::json!({
+            "host": run,
+            "at_ms": request.at_ms,
+            "endpoint": request.endpoint,
+            "request": request.id,
+            "statement": request.statement,
+            "outcome": request.outcome,
+            "error": request.error,
+            "noted_for": request.noted_for,
+        });
+        writeln!(out, "{line}")?;
+    }
+    for (run, last) in &record.heads {
+        eprintln!("journal of {run}: read up to record {last}");
+    }
+    if record.faults.is_empty() {
+        return Ok(());
+    }
+    Err(CommandError::Untrue(record.faults.join("\n")))
+}
+
+fn export_chains(platform: &str, customer: &str) -> Result<(), CommandError> {
     let client = PlatformClient::new(platform);
     let deadline = Instant::now() + STORE_TIMEOUT;
     let list = smol::block_on(client.watch(RECORD_KIND, 0, Duration::ZERO, deadline))?;
--- a/src/error.rs
+++ b/src/error.rs
@@ -57,6 +57,9 @@
     /// The platform cannot be reached.
     #[error(transparent)]
     Platform(#[from] PlatformError),
+    /// The object store of the users' platform cannot be read.
+    #[error(transparent)]
+    Store(#[from] fulmarrill_platform::ObjectError),
     /// A host cannot start.
     #[error(transparent)]
     Host(#[from] HostError),
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -40,8 +40,8 @@
     },
     /// Writes a customer's record of requests.
     Export {
-        /// Address of the platform.
-        platform: String,
+        /// Where the record is.
+        source: ExportSource,
         /// The customer.
         customer: String,
     },
@@ -88,6 +88,15 @@
     },
 }
 
+/// Where a customer's record is read from.
+#[derive(Debug, Clone)]
+pub enum ExportSource {
+    /// The platform's stand-in, for hosts that `serve` runs.
+    Platform(String),
+    /// The users' platform, for hosts that `front` runs.
+    Store(String),
+}
+
 fn host_flag() -> impl Parser<String> {
     long("host")
         .help("Operator port of any host, IP:PORT")
@@ -164,9 +173,15 @@
 fn export() -> impl Parser<Command> {
     let platform = long("platform")
         .help("Address of the platform, IP:PORT")
-        .argument("ADDRESS");
+        .argument("ADDRESS")
+        .map(ExportSource::Platform);
+    let store = long("store")
+        .help("Address of the object store of the users' platform, IP:PORT")
+        .argument("ADDRESS")
+        .map(ExportSource::Store);
+    let source = construct!([platform, store]);
     let customer = positional("CUSTOMER").help("Name of the customer");
-    construct!(Command::Export { platform, customer })
+    construct!(Command::Export { source, customer })
         .to_options()
         .descr("Writes a customer's record of requests as JSON lines, verified")
         .footer("Example: fulmarrill export --platform 127.0.0.1:7000 stall-7 > stall-7.jsonl\nExit code 2 if the record is not whole; the place is named.")
