--- a/crates/proxy/tests/records.rs
+++ b/crates/proxy/tests/records.rs
@@ -91,8 +91,8 @@
     keeper.note_link_closed("h2", now);
     keeper.witness(&host("h2~1"), now, note("q2"), &served());
     keeper.upkeep(now + Duration::from_secs(10));
-    keeper.upkeep(now + Duration::from_secs(60));
-    keeper.note_link_closed("h2", now + Duration::from_secs(60));
+    keeper.upkeep(now + Duration::from_mins(1));
+    keeper.note_link_closed("h2", now + Duration::from_mins(1));
     keeper.upkeep(now + Duration::from_secs(70));
     assert!(written(&keeper).is_empty());
 }
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -7,9 +7,11 @@
 mod operate;
 mod replay;
 mod serve;
+mod soak;
 mod standin;
 
 use std::path::Path;
+use std::time::Duration;
 
 use crate::error::CommandError;
 use crate::flags::Command;
@@ -60,6 +62,17 @@
             cost,
             scenarios,
         } => measure::run(json, cost, &scenarios),
+        Command::Soak {
+            seed,
+            seeds,
+            seconds,
+            hosts,
+            callers,
+        } => soak::run(seed, seeds, &|options| {
+            options
+                .with_time(Duration::from_secs(seconds))
+                .with_size(hosts, callers)
+        }),
         Command::Demo { seconds, listen } => demo::run(seconds, listen),
     }
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -60,6 +60,9 @@
     /// The object store of the users' platform cannot be read.
     #[error(transparent)]
     Store(#[from] fulmarrill_platform::ObjectError),
+    /// A soak cannot be run.
+    #[error(transparent)]
+    Soak(#[from] fulmarrill_soak::SoakError),
     /// A host cannot start.
     #[error(transparent)]
     Host(#[from] HostError),
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -79,6 +79,19 @@
         /// The scenarios.
         scenarios: Vec<PathBuf>,
     },
+    /// Lets things go wrong around hosts that run as processes.
+    Soak {
+        /// First seed; a fresh one if none is given.
+        seed: Option<u64>,
+        /// Number of seeds, one after the other.
+        seeds: u64,
+        /// Seconds of load for each seed.
+        seconds: u64,
+        /// Hosts.
+        hosts: usize,
+        /// Callers.
+        callers: usize,
+    },
     /// Starts everything on loopback and fails a primary under load.
     Demo {
         /// Seconds of load.
@@ -257,6 +270,31 @@
         .command("measure")
 }
 
+fn soak() -> impl Parser<Command> {
+    let seed = long("seed")
+        .help("Seed that decides what goes wrong; without it a fresh one")
+        .argument("N")
+        .optional();
+    let seeds = long("seeds")
+        .help("Number of seeds to run, counted up from the first")
+        .argument("N")
+        .fallback(1);
+    let seconds = long("seconds")
+        .help("Seconds of load for each seed")
+        .argument("N")
+        .fallback(30);
+    let hosts = long("hosts")
+        .help("Hosts, a process each")
+        .argument("N")
+        .fallback(5);
+    let callers = long("callers").help("Callers").argument("N").fallback(24);
+    construct!(Command::Soak { seed, seeds, seconds, hosts, callers })
+        .to_options()
+        .descr("Kills, pauses, cuts and slows around hosts that run as processes, and checks what callers were told")
+        .footer("Example: fulmarrill soak --seed 7 --seconds 30\nExit code 2 if a promise was broken; settings and logs of the hosts stay in a folder that is named.")
+        .command("soak")
+}
+
 fn demo() -> impl Parser<Command> {
     let seconds = long("seconds")
         .help("Seconds of load")
@@ -276,9 +314,9 @@
 pub fn command() -> OptionParser<Command> {
     let (serve, front, check, apply, status) = (serve(), front(), check(), apply(), status());
     let (state, export, replay) = (state(), export(), replay());
-    let (standin, measure, demo) = (standin(), measure(), demo());
+    let (standin, measure, soak, demo) = (standin(), measure(), soak(), demo());
     construct!([
-        serve, front, check, apply, status, state, export, replay, standin, measure, demo
+        serve, front, check, apply, status, state, export, replay, standin, measure, soak, demo
     ])
     .to_options()
     .descr("A database proxy with session consistency")
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -6,5 +6,6 @@
 mod failures;
 mod processes;
 mod records;
+mod soak;
 mod traces;
 mod util;
