--- a/crates/position/src/freshness.rs
+++ b/crates/position/src/freshness.rs
@@ -3,7 +3,8 @@
 //! A host asks the primary's owner for its position and keeps the time of
 //! asking. The position in the answer was current at some moment after that,
 //! so a replica that has applied it holds data no older than the time of
-//! asking. Only one host's monotonic clock takes part.
+//! asking. Only one host's clock takes part. It must go on while the machine is
+//! suspended, or what is old looks fresh afterwards; [`Instant`] does not.
 
 use std::collections::VecDeque;
 use std::time::Instant;
@@ -15,18 +16,28 @@
 
 /// A position of the primary and when it was asked for.
 #[derive(Debug, Clone, Copy)]
-struct FreshnessSample {
-    asked_at: Instant,
+struct FreshnessSample<M> {
+    asked_at: M,
     point: LogPoint,
 }
 
 /// Recent positions of one database's primary, oldest first.
-#[derive(Debug, Clone, Default)]
-pub struct FreshnessLog {
-    samples: VecDeque<FreshnessSample>,
+///
+/// `M` is a moment on the host's clock.
+#[derive(Debug, Clone)]
+pub struct FreshnessLog<M = Instant> {
+    samples: VecDeque<FreshnessSample<M>>,
 }
 
-impl FreshnessLog {
+impl<M> Default for FreshnessLog<M> {
+    fn default() -> Self {
+        Self {
+            samples: VecDeque::new(),
+        }
+    }
+}
+
+impl<M: Copy + Ord> FreshnessLog<M> {
     /// A log that knows nothing: every replica's age is unknown.
     #[must_use]
     pub fn new() -> Self {
@@ -37,7 +48,7 @@
     ///
     /// Answers may arrive out of order; one asked earlier than the last kept
     /// proves nothing new and is dropped.
-    pub fn record(&mut self, asked_at: Instant, point: LogPoint) {
+    pub fn record(&mut self, asked_at: M, point: LogPoint) {
         if let Some(last) = self.samples.back() {
             if asked_at <= last.asked_at {
                 return;
@@ -57,7 +68,7 @@
     ///
     /// `None` when no sample proves any moment.
     #[must_use]
-    pub fn complete_as_of(&self, applied: LogPoint) -> Option<Instant> {
+    pub fn complete_as_of(&self, applied: LogPoint) -> Option<M> {
         for sample in self.samples.iter().rev() {
             if sample.point <= applied {
                 return Some(sample.asked_at);
@@ -70,7 +81,7 @@
     ///
     /// `None` when no position was asked for since then.
     #[must_use]
-    pub fn point_since(&self, oldest: Instant) -> Option<LogPoint> {
+    pub fn point_since(&self, oldest: M) -> Option<LogPoint> {
         for sample in &self.samples {
             if sample.asked_at >= oldest {
                 return Some(sample.point);
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -13,6 +13,7 @@
 use fulmarrill_position::{DatabaseName, FreshnessLog, LogPoint};
 
 use crate::catalogue::InstanceId;
+use crate::clock::BootTime;
 use crate::entry::placement::InstanceSight;
 use crate::entry::reads::SharedQuestion;
 
@@ -20,7 +21,7 @@
 #[derive(Debug, Default)]
 pub struct EntryState {
     sessions: AtomicUsize,
-    freshness: Mutex<HashMap<DatabaseName, FreshnessLog>>,
+    freshness: Mutex<HashMap<DatabaseName, FreshnessLog<BootTime>>>,
     questions: Mutex<HashMap<DatabaseName, SharedQuestion>>,
     sights: Mutex<HashMap<InstanceId, InstanceSight>>,
 }
@@ -90,7 +91,7 @@
 
     /// Notes a position of the primary that covers every commit acknowledged
     /// until `as_of`.
-    pub fn note_position(&self, database: &DatabaseName, as_of: Instant, point: LogPoint) {
+    pub fn note_position(&self, database: &DatabaseName, as_of: BootTime, point: LogPoint) {
         lock(&self.freshness)
             .entry(database.clone())
             .or_default()
@@ -99,7 +100,7 @@
 
     /// The lowest position known to be no older than `oldest`.
     #[must_use]
-    pub fn position_since(&self, database: &str, oldest: Instant) -> Option<LogPoint> {
+    pub fn position_since(&self, database: &str, oldest: BootTime) -> Option<LogPoint> {
         lock(&self.freshness).get(database)?.point_since(oldest)
     }
 }
--- a/crates/proxy/src/entry/reads.rs
+++ b/crates/proxy/src/entry/reads.rs
@@ -7,6 +7,7 @@
 use fulmarrill_runtime::before;
 
 use crate::catalogue::ReadFreshness;
+use crate::clock::BootTime;
 use crate::context::SharedContext;
 use crate::entry::lock;
 use crate::entry::placement::{EntryPlace, ReadCandidate, choose_instance};
@@ -29,8 +30,8 @@
 /// A question for a primary's position that many sessions share.
 #[derive(Debug)]
 pub struct PositionQuestion {
-    asked_at: Instant,
-    result: smol::lock::OnceCell<Option<(Instant, LogPoint)>>,
+    asked_at: BootTime,
+    result: smol::lock::OnceCell<Option<(BootTime, LogPoint)>>,
 }
 
 /// Shared handle of a question.
@@ -50,16 +51,16 @@
         ReadFreshness::Aged(age) => (age, None),
         ReadFreshness::AgedWithOwn(age) => (age, own),
     };
-    let arrived_at = Instant::now();
+    let arrived_at = BootTime::now();
     // The age counts from the arrival of the read, and the position proves
     // completeness as of a moment before that.
-    let oldest = arrived_at.checked_sub(age)?;
+    let oldest = arrived_at.before(age);
     let known = context.entry.position_since(database, oldest);
     let point = if let Some(point) = known {
-        refresh_ahead(context, database, arrived_at.checked_sub(age / 2));
+        refresh_ahead(context, database, arrived_at.before(age / 2));
         point
     } else {
-        let until = deadline.min(arrived_at + QUESTION_TIME);
+        let until = deadline.min(Instant::now() + QUESTION_TIME);
         // Boxed, since most reads ask nothing.
         let asking = Box::pin(ask_position(context, database));
         let (as_of, point) = before(until, asking).await.ok()??;
@@ -73,8 +74,8 @@
 
 /// Seeks a newer position in the background once the last one is half as old
 /// as allowed.
-fn refresh_ahead(context: &SharedContext, database: &DatabaseName, since: Option<Instant>) {
-    let young = since.is_some_and(|since| context.entry.position_since(database, since).is_some());
+fn refresh_ahead(context: &SharedContext, database: &DatabaseName, since: BootTime) {
+    let young = context.entry.position_since(database, since).is_some();
     if young || lock(&context.entry.questions).contains_key(database) {
         return;
     }
@@ -90,12 +91,12 @@
 async fn ask_position(
     context: &SharedContext,
     database: &DatabaseName,
-) -> Option<(Instant, LogPoint)> {
+) -> Option<(BootTime, LogPoint)> {
     let question = lock(&context.entry.questions)
         .entry(database.clone())
         .or_insert_with(|| {
             Arc::new(PositionQuestion {
-                asked_at: Instant::now(),
+                asked_at: BootTime::now(),
                 result: smol::lock::OnceCell::new(),
             })
         })
@@ -117,8 +118,8 @@
 async fn call_owner(
     context: &SharedContext,
     database: &DatabaseName,
-    asked_at: Instant,
-) -> Option<(Instant, LogPoint)> {
+    asked_at: BootTime,
+) -> Option<(BootTime, LogPoint)> {
     let view = context.view.load();
     let (primary, _) = view.primary(database)?;
     let region = context.region_of(&primary.data_centre);
@@ -130,11 +131,11 @@
             continue;
         }
         let call = ProxyCall::Position(database.clone());
-        let deadline = asked_at + QUESTION_TIME;
+        let deadline = Instant::now() + QUESTION_TIME;
         if let Ok(ProxyReply::Position(Some((age, point)))) =
             context.peers.call(&host.address, call, deadline).await
         {
-            return Some((asked_at.checked_sub(age)?, point));
+            return Some((asked_at.before(age), point));
         }
     }
     None
--- a/crates/proxy/src/entry/router.rs
+++ b/crates/proxy/src/entry/router.rs
@@ -5,6 +5,7 @@
 use fulmarrill_position::{LogPoint, Term};
 
 use crate::catalogue::{HostName, InstanceEntry, InstanceId};
+use crate::clock::BootTime;
 use crate::context::SharedContext;
 use crate::peers::{ProxyCall, ProxyReply};
 use crate::view::TrafficView;
@@ -103,7 +104,7 @@
     let lead = request.lead;
     let step = request.step;
     let deadline = request.deadline;
-    let sent_at = Instant::now();
+    let sent_at = BootTime::now();
     context.entry.note_sent(&instance);
     let answer = if host == context.place.host {
         // Boxed, so that a session which waits for another host stays small.
@@ -128,7 +129,7 @@
                 // The answer was made after the work was sent.
                 context.entry.note_position(&database, sent_at, *point);
             }
-            Some(sent_at.elapsed())
+            Some(BootTime::now().since(sent_at))
         }
         _ => None,
     };
--- a/crates/proxy/src/owner.rs
+++ b/crates/proxy/src/owner.rs
@@ -137,14 +137,15 @@
 
     /// A position that covers every commit acknowledged until the moment that
     /// comes with it; none if this host may not use the primary.
-    pub async fn primary_position(&self, database: &str) -> Option<(Instant, LogPoint)> {
+    pub async fn primary_position(&self, database: &str) -> Option<(BootTime, LogPoint)> {
         let view = self.view.load();
         let (instance, term) = view.primary(database)?;
         if !self.may_lead(database, term) {
             return None;
         }
         let known = self.sights().get(database).and_then(|s| s.latest(term));
-        let fresh = known.filter(|(sent_at, _)| sent_at.elapsed() <= SIGHT_AGE_MAX);
+        let now = BootTime::now();
+        let fresh = known.filter(|(sent_at, _)| now.since(*sent_at) <= SIGHT_AGE_MAX);
         if fresh.is_some() {
             return fresh;
         }
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -11,6 +11,7 @@
 use futures_lite::FutureExt;
 
 use crate::catalogue::{HostName, InstanceEntry, InstanceId};
+use crate::clock::BootTime;
 use crate::codec::{DatabaseCodec, DatabaseCommand, DatabaseRole, ErrorKind};
 use crate::owner::commands::{failed_answer, push_commands, roll_back};
 use crate::owner::connection::{ConnectionError, DatabaseAnswer};
@@ -55,7 +56,7 @@
     /// The answer.
     pub answer: WorkAnswer,
     /// When the command was sent; none if it was not.
-    pub sent_at: Option<Instant>,
+    pub sent_at: Option<BootTime>,
 }
 
 impl OwnerReport {
@@ -293,7 +294,7 @@
                 Ok(answers) if answers.iter().all(|answer| answer.outcome.is_ok()) => {}
                 Ok(answers) => {
                     return self
-                        .finish(from, request, lease, answers, None, Instant::now())
+                        .finish(from, request, lease, answers, None, BootTime::now())
                         .await;
                 }
                 Err(error) => return self.connect_failed(&error),
@@ -313,7 +314,7 @@
     ) -> OwnerReport {
         let mut commands = Vec::new();
         push_commands(&mut lease, request, after, &mut commands);
-        let sent_at = Instant::now();
+        let sent_at = BootTime::now();
         // A read may run again elsewhere as soon as the instance is known to be
         // down; anything else has to wait for its answer.
         let may_run_again = request.step == WorkStep::Single && !request.statement.writes();
@@ -376,7 +377,7 @@
         mut lease: PoolLease,
         mut answers: Vec<DatabaseAnswer>,
         pin: Option<PinId>,
-        sent_at: Instant,
+        sent_at: BootTime,
     ) -> OwnerReport {
         self.served.fetch_add(1, Ordering::Relaxed);
         let failure = answers
@@ -474,7 +475,7 @@
         &self,
         error: &ConnectionError,
         request: &WorkRequest,
-        sent_at: Instant,
+        sent_at: BootTime,
     ) -> OwnerReport {
         log::debug!("{}: {error}", self.instance.id);
         self.pool.close_idle();
@@ -493,7 +494,7 @@
     }
 
     /// Asks the primary for its position, and when that was.
-    pub async fn ask_position(&self, term: Term) -> Option<(Instant, LogPoint)> {
+    pub async fn ask_position(&self, term: Term) -> Option<(BootTime, LogPoint)> {
         let deadline = Instant::now() + POSITION_TIME;
         let (sent_at, answer) = self.command(DatabaseCommand::Status, deadline).await?;
         // A position of a later term is not that of this primary.
@@ -506,11 +507,11 @@
         &self,
         command: DatabaseCommand,
         deadline: Instant,
-    ) -> Option<(Instant, DatabaseAnswer)> {
+    ) -> Option<(BootTime, DatabaseAnswer)> {
         let _slot = self.gate.take(0, "", deadline, true).await.ok()?;
         let values = crate::statement::SessionValues::default();
         let mut lease = self.take_connection(&values, deadline).await.ok()?;
-        let sent_at = Instant::now();
+        let sent_at = BootTime::now();
         let answers = self.exchange(&mut lease, &[command], deadline).await;
         let answer = answers.ok()?.pop()?;
         lease.settle();
--- a/crates/proxy/src/owner/sight.rs
+++ b/crates/proxy/src/owner/sight.rs
@@ -1,20 +1,20 @@
 //! The last position of a primary that its owner has seen.
 
-use std::time::Instant;
-
 use fulmarrill_position::{LogPoint, Term};
 
+use crate::clock::BootTime;
+
 /// What an owner knows of a primary's position.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PrimarySight {
     term: Term,
-    latest: Option<(Instant, LogPoint)>,
+    latest: Option<(BootTime, LogPoint)>,
 }
 
 impl PrimarySight {
     /// Notes the position in the answer of the primary of `term` to a command
     /// sent at `sent_at`.
-    pub fn record(&mut self, term: Term, sent_at: Instant, point: LogPoint) {
+    pub fn record(&mut self, term: Term, sent_at: BootTime, point: LogPoint) {
         if term > self.term {
             *self = Self { term, latest: None };
         }
@@ -30,7 +30,7 @@
     /// The highest position seen in a term, which covers every commit
     /// acknowledged until the moment beside it.
     #[must_use]
-    pub fn latest(&self, term: Term) -> Option<(Instant, LogPoint)> {
+    pub fn latest(&self, term: Term) -> Option<(BootTime, LogPoint)> {
         self.latest.filter(|_| self.term == term)
     }
 }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -12,6 +12,7 @@
 use smol::{Executor, Task, Timer};
 
 use crate::catalogue::RunName;
+use crate::clock::BootTime;
 use crate::context::SharedContext;
 use crate::control::{ControlAction, ControlEvent, ControlState};
 use crate::entry::session::serve_caller;
@@ -183,7 +184,7 @@
         }
         ProxyCall::Position(database) => {
             let known = context.owners.primary_position(&database).await;
-            ProxyReply::Position(known.map(|(as_of, point)| (as_of.elapsed(), point)))
+            ProxyReply::Position(known.map(|(as_of, point)| (BootTime::now().since(as_of), point)))
         }
         ProxyCall::Learn(question) => {
             ProxyReply::Knowledge(Box::new(answer_question(context, question).await))
--- a/crates/proxy/tests/health.rs
+++ b/crates/proxy/tests/health.rs
@@ -5,6 +5,7 @@
 use fulmarrill_position::LogPoint;
 use fulmarrill_proxy::catalogue::InstanceEntry;
 use fulmarrill_proxy::change::candidate::{ChangeCandidate, choose_candidate};
+use fulmarrill_proxy::clock::BootTime;
 use fulmarrill_proxy::codec::{DatabaseRole, DatabaseStatus};
 use fulmarrill_proxy::owner::health::InstanceHealth;
 use fulmarrill_proxy::owner::monitor::InstanceMonitor;
@@ -75,22 +76,25 @@
 
 #[test]
 fn sight_of_an_older_term_says_nothing_about_a_later_one() {
-    let now = Instant::now();
+    let now = BootTime::now();
     let mut sight = PrimarySight::default();
     sight.record(3, now, LogPoint::new(3, 900));
     sight.record(4, now, LogPoint::new(4, 10));
-    sight.record(3, now + STEP, LogPoint::new(3, 901));
+    sight.record(3, now.after(STEP), LogPoint::new(3, 901));
     assert_eq!(sight.latest(4), Some((now, LogPoint::new(4, 10))));
     assert_eq!(sight.latest(3), None);
 }
 
 #[test]
 fn crossed_answers_keep_the_latest_moment_and_the_highest_position() {
-    let now = Instant::now();
+    let now = BootTime::now();
     let mut sight = PrimarySight::default();
-    sight.record(3, now + STEP, LogPoint::new(3, 10));
+    sight.record(3, now.after(STEP), LogPoint::new(3, 10));
     sight.record(3, now, LogPoint::new(3, 12));
-    assert_eq!(sight.latest(3), Some((now + STEP, LogPoint::new(3, 12))));
+    assert_eq!(
+        sight.latest(3),
+        Some((now.after(STEP), LogPoint::new(3, 12)))
+    );
 }
 
 #[test]
--- a/crates/proxy/tests/placement.rs
+++ b/crates/proxy/tests/placement.rs
@@ -2,8 +2,11 @@
 
 use std::time::{Duration, Instant};
 
+use fulmarrill_position::LogPoint;
 use fulmarrill_proxy::catalogue::InstanceEntry;
+use fulmarrill_proxy::clock::BootTime;
 use fulmarrill_proxy::codec::DatabaseRole;
+use fulmarrill_proxy::entry::EntryState;
 use fulmarrill_proxy::entry::placement::{
     EntryPlace, InstanceSight, ReadCandidate, choose_instance,
 };
@@ -121,3 +124,22 @@
         "behind"
     );
 }
+
+/// A host that was suspended for longer than the age allowed knows no position
+/// that is fresh enough, although its monotonic clock stood still.
+#[test]
+fn position_grows_old_by_the_clock_that_counts_suspensions() {
+    let entry = EntryState::new();
+    let database = "registry-1".into();
+    let now = BootTime::now().after(Duration::from_mins(1));
+    let point = LogPoint::new(1, 1033);
+    entry.note_position(&database, now.before(Duration::from_secs(4)), point);
+    assert_eq!(
+        entry.position_since(&database, now.before(Duration::from_secs(5))),
+        Some(point)
+    );
+    assert_eq!(
+        entry.position_since(&database, now.before(Duration::from_secs(2))),
+        None
+    );
+}
