Take no position from inside a transaction

Change: entries and owners take positions only from answers outside of transactions or at their end.

--- a/crates/proxy/src/entry/router.rs
+++ b/crates/proxy/src/entry/router.rs
@@ -124,8 +124,9 @@
         }
     };
     let served = match &answer {
-        WorkAnswer::Served { point, .. } => {
-            if let (Some(_), Some(point)) = (lead, point) {
+        WorkAnswer::Served { point, pin, .. } => {
+            // Inside a transaction the position may be that of its snapshot.
+            if let (Some(_), Some(point), None) = (lead, point, pin) {
                 // The answer was made after the work was sent.
                 context.entry.note_position(&database, sent_at, *point);
             }
--- a/crates/proxy/src/owner.rs
+++ b/crates/proxy/src/owner.rs
@@ -123,8 +123,10 @@
                 other => other,
             };
         }
-        if let (Some(term), Some(sent_at), WorkAnswer::Served { point, .. }) =
+        if let (Some(term), Some(sent_at), WorkAnswer::Served { point, pin, .. }) =
             (lead, report.sent_at, &report.answer)
+            // Inside a transaction the position may be that of its snapshot.
+            && pin.is_none()
             && let Some(point) = point
         {
             self.sights()
