Fewer calls to the store at the start and while it is away

Hosts that start watch three kinds each until they find whom to follow; at the first start nobody is listed yet; in an outage every host watches by itself, and asks all others twice a second. Change: a host that starts lists hosts and terms once and then follows; at the first start it lists after everybody is listed. Only the first three of a line watch at once, the others up to six seconds later; a host beyond them tries a drawn one, too. Who has no answer asks four others a round. The store counts as away after 3.1 s.

--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -2,8 +2,10 @@
 //!
 //! In each data centre the hosts stand in line. The first one watches the store;
 //! the others follow a host before them by a question that waits for news. A
-//! host that hears nothing current from those before it watches by itself, and
-//! one that the store does not answer asks any host.
+//! host that hears nothing current from those before it watches by itself: those
+//! at the head of the line at once, the others some time later, so that an outage
+//! of the store does not turn all hosts on it. One that the store does not answer
+//! asks a few others.
 //!
 //! Leases may be passed on: they count from a question to the store, whoever
 //! asked it.
@@ -15,6 +17,7 @@
 use compact_str::CompactString;
 use event_listener::Event;
 use fulmarrill_ownership::rank_hosts;
+use fulmarrill_runtime::before;
 use serde::{Deserialize, Serialize};
 use smol::Timer;
 
@@ -27,19 +30,34 @@
 use crate::view::{TrafficView, ViewDigests};
 
 /// Age of the last answer of the store after which it counts as away. The watch
-/// over terms is answered each 2.5 seconds.
-const OVERDUE_TIME: Duration = Duration::from_millis(3700);
-/// Time that a host which has just started gives the store.
+/// over terms is answered each two seconds, and its answer may take one more.
+const OVERDUE_TIME: Duration = Duration::from_millis(3100);
+/// Time that a host which has just started gives the store for its first answer.
 const START_TIME: Duration = Duration::from_millis(600);
-/// Time between two rounds of a host that has nobody to follow.
+/// Time for control to take over what was just heard.
+const TAKE_OVER_TIME: Duration = Duration::from_millis(20);
+/// Time between two rounds of a host that watches by itself.
 const ROUND_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two rounds of a host that waits for one before it.
+const WAIT_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which a host leaves watching to those before it, for each
+/// [`HEAD_LENGTH`] of them: time for one of these to list and pass on what it
+/// found, several times over.
+const PATIENCE_TIME: Duration = Duration::from_millis(1500);
+/// Steps of patience at most; after six seconds everybody tries.
+const PATIENCE_MAX: u32 = 4;
+/// Hosts at the head of a line that watch as soon as there is nobody to follow.
+const HEAD_LENGTH: usize = 3;
+/// Other hosts that one asks in a round while the store does not answer it.
+const OTHERS_MAX: usize = 4;
 /// Longest wait of a question for news. Leases are as much older.
 const FOLLOW_TIME: Duration = Duration::from_secs(1);
 /// Least time between two questions: two hosts may differ for a moment.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(30);
 /// Time beyond its wait within which a question must be answered.
 const FOLLOW_SLACK: Duration = Duration::from_millis(500);
-/// Hosts before it in line that a host tries to follow.
+/// Hosts at the head of the line that a host tries to follow; beside them one
+/// that is drawn each time, in case all of these are cut off from the store.
 const LEADERS_MAX: usize = 2;
 /// What the line of a data centre is drawn by.
 const LINE_KEY: &str = "watch";
@@ -144,21 +162,34 @@
 #[derive(Debug)]
 pub struct StoreSight {
     overdue_at: Mutex<Instant>,
+    heard: AtomicBool,
     wanted: AtomicBool,
     changed: Event,
 }
 
 impl StoreSight {
-    /// The sight of a host that has just started; it watches.
+    /// The sight of a host that has just started.
     #[must_use]
     pub fn new(now: Instant) -> Self {
         Self {
             overdue_at: Mutex::new(now + START_TIME),
-            wanted: AtomicBool::new(true),
+            heard: AtomicBool::new(false),
+            wanted: AtomicBool::new(false),
             changed: Event::new(),
         }
     }
 
+    /// Returns once the store has answered for the first time.
+    async fn heard(&self) {
+        loop {
+            let listener = self.changed.listen();
+            if self.heard.load(Ordering::SeqCst) {
+                return;
+            }
+            listener.await;
+        }
+    }
+
     /// Notes an answer of the watch over terms.
     pub fn note_answer(&self, now: Instant) {
         let mut overdue_at = self
@@ -166,6 +197,10 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         *overdue_at = now + OVERDUE_TIME;
+        drop(overdue_at);
+        if !self.heard.swap(true, Ordering::SeqCst) {
+            self.changed.notify(usize::MAX);
+        }
     }
 
     /// Whether the next answer is overdue.
@@ -210,18 +245,37 @@
         .hosts
         .values()
         .filter(|host| host.data_centre == place.data_centre);
-    let mut before = Vec::new();
+    let mut hosts = Vec::new();
     for name in rank_hosts(LINE_KEY, near.map(|host| host.name.as_str())) {
         if name == place.host {
             break;
         }
-        before.extend(view.hosts.get(name).map(|host| host.address.clone()));
+        hosts.extend(view.hosts.get(name).map(|host| host.address.clone()));
     }
-    before.truncate(LEADERS_MAX);
-    before
+    hosts
 }
 
-/// All other hosts in random order, those that were out of reach last.
+/// Those of the hosts before one that it tries to follow; `drawn` is a random
+/// number.
+#[must_use]
+pub fn choose_leaders(hosts: &[CompactString], drawn: usize) -> Vec<CompactString> {
+    let (head, rest) = hosts.split_at(hosts.len().min(LEADERS_MAX));
+    let mut leaders = head.to_vec();
+    if !rest.is_empty() {
+        leaders.push(rest[drawn % rest.len()].clone());
+    }
+    leaders
+}
+
+/// How long a host with so many before it waits for one of them before it
+/// watches the store by itself.
+#[must_use]
+pub fn watch_patience(before: usize) -> Duration {
+    let steps = u32::try_from(before / HEAD_LENGTH).unwrap_or(u32::MAX);
+    PATIENCE_TIME * steps.min(PATIENCE_MAX)
+}
+
+/// A few other hosts, drawn, those that were out of reach last.
 fn any_hosts(context: &SharedContext, view: &TrafficView) -> Vec<CompactString> {
     let mut addresses: Vec<CompactString> = Vec::new();
     for host in view.hosts.values() {
@@ -233,22 +287,37 @@
     addresses.dedup();
     fastrand::shuffle(&mut addresses);
     addresses.sort_by_key(|address| context.peers.is_avoided(address));
+    addresses.truncate(OTHERS_MAX);
     addresses
 }
 
 /// Follows other hosts where there is one to follow, for as long as the task
 /// lives.
 pub async fn run_relay(context: SharedContext, control: ControlSender) {
-    Timer::after(START_TIME).await;
+    // Who stands before this host is known from the first answer.
+    if before(Instant::now() + START_TIME, context.store.heard())
+        .await
+        .is_ok()
+    {
+        Timer::after(TAKE_OVER_TIME).await;
+    }
+    let mut alone_since = None;
     loop {
         let next_at = Instant::now() + FOLLOW_INTERVAL;
-        if follow(&context, &control).await {
+        let hosts = hosts_before(&context, &context.view.load());
+        if follow(&context, &control, &hosts).await {
+            alone_since = None;
             context.store.set_wanted(false);
             Timer::at(next_at).await;
             continue;
         }
-        context.store.set_wanted(true);
-        if context.store.is_overdue(Instant::now()) {
+        let now = Instant::now();
+        let waits_since = *alone_since.get_or_insert(now);
+        let watches = now >= waits_since + watch_patience(hosts.len());
+        if watches {
+            context.store.set_wanted(true);
+        }
+        if context.store.is_overdue(now) {
             let view = context.view.load();
             for address in any_hosts(&context, &view) {
                 if ask(&context, &control, &address, Duration::ZERO).await {
@@ -256,14 +325,18 @@
                 }
             }
         }
-        Timer::after(ROUND_INTERVAL).await;
+        let interval = if watches {
+            ROUND_INTERVAL
+        } else {
+            WAIT_INTERVAL
+        };
+        Timer::after(interval).await;
     }
 }
 
 /// Asks the hosts before this one for news. Says whether one was current.
-async fn follow(context: &SharedContext, control: &ControlSender) -> bool {
-    let view = context.view.load();
-    for address in hosts_before(context, &view) {
+async fn follow(context: &SharedContext, control: &ControlSender, hosts: &[CompactString]) -> bool {
+    for address in choose_leaders(hosts, fastrand::usize(..)) {
         if context.peers.is_avoided(&address) {
             continue;
         }
--- /dev/null
+++ b/crates/proxy/tests/relay.rs
@@ -0,0 +1,48 @@
+//! Who watches the store: what an outage or a failing head of the line brings.
+
+use std::time::Duration;
+
+use compact_str::{CompactString, format_compact};
+use fulmarrill_proxy::relay::{choose_leaders, watch_patience};
+use rstest::rstest;
+
+fn line(count: usize) -> Vec<CompactString> {
+    (0..count)
+        .map(|place| format_compact!("10.1.0.{place}:7000"))
+        .collect()
+}
+
+/// Answers an outage of the store for everybody: of a line of 600 hosts only the
+/// head calls it at once, and the others not before the head has tried for long.
+#[test]
+fn head_of_the_line_tries_first() {
+    let at_once = (0..600)
+        .filter(|&before| watch_patience(before).is_zero())
+        .count();
+    assert_eq!(at_once, 3);
+    let soon = (0..600)
+        .filter(|&before| watch_patience(before) < Duration::from_secs(3))
+        .count();
+    assert_eq!(soon, 6);
+    assert!(watch_patience(599) <= Duration::from_secs(6));
+}
+
+#[rstest]
+#[case::nobody(0, 0)]
+#[case::one(1, 1)]
+#[case::head_only(2, 2)]
+#[case::head_and_one_drawn(9, 3)]
+fn few_are_followed(#[case] before: usize, #[case] expected: usize) {
+    assert_eq!(choose_leaders(&line(before), 7).len(), expected);
+}
+
+/// Answers a head that is cut off from the store: whoever behind it is current is
+/// found, since another one is drawn each time.
+#[test]
+fn everybody_before_a_host_is_drawn_some_time() {
+    let hosts = line(9);
+    for address in &hosts {
+        let found = (0..9).any(|drawn| choose_leaders(&hosts, drawn).contains(address));
+        assert!(found, "{address}");
+    }
+}
