Own commits count per database; one kind judges whether the store answers

Cause: reading the diff: a session's own position was one number, so that after a configuration that leads its endpoint to another database every read lagged and went to the primary. In outages each host tried three kinds of objects, and its records each 3 s.

--- a/crates/proxy/src/entry/reads.rs
+++ b/crates/proxy/src/entry/reads.rs
@@ -43,12 +43,12 @@
     context: &SharedContext,
     database: &DatabaseName,
     freshness: ReadFreshness,
-    own: Option<LogPoint>,
+    own: LogPoint,
     deadline: Instant,
 ) -> Option<LogPoint> {
     let (age, own) = match freshness {
         ReadFreshness::Latest => return None,
-        ReadFreshness::Aged(age) => (age, None),
+        ReadFreshness::Aged(age) => (age, LogPoint::default()),
         ReadFreshness::AgedWithOwn(age) => (age, own),
     };
     let arrived_at = BootTime::now();
@@ -69,7 +69,7 @@
         }
         point
     };
-    Some(own.map_or(point, |own| own.max(point)))
+    Some(own.max(point))
 }
 
 /// Seeks a newer position in the background once the last one is half as old
--- a/crates/proxy/src/entry/router.rs
+++ b/crates/proxy/src/entry/router.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use fulmarrill_position::{LogPoint, Term};
+use fulmarrill_position::{DatabaseName, LogPoint, Term};
 
 use crate::catalogue::{HostName, InstanceEntry, InstanceId};
 use crate::clock::BootTime;
@@ -25,6 +25,8 @@
     pub answer: WorkAnswer,
     /// Owner that has the transaction, if one goes on.
     pub owner: HostName,
+    /// Database.
+    pub database: DatabaseName,
     /// Instance that it was sent to.
     pub instance: InstanceId,
     /// Term that the instance was to lead, if it had to be the primary.
@@ -40,6 +42,7 @@
         Self {
             answer: WorkAnswer::NotRun(reason),
             owner: HostName::default(),
+            database: DatabaseName::default(),
             instance: InstanceId::default(),
             lead: None,
             floor: None,
@@ -77,6 +80,7 @@
             return RoutedAnswer {
                 answer: result,
                 owner: host.name.clone(),
+                database: request.database,
                 instance: request.instance,
                 lead: request.lead,
                 floor: request.after,
@@ -85,6 +89,7 @@
     }
     RoutedAnswer {
         answer: result,
+        database: request.database,
         instance: request.instance,
         lead: request.lead,
         floor: request.after,
--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -7,7 +7,7 @@
 
 use bytes::BytesMut;
 use compact_str::CompactString;
-use fulmarrill_position::{LogPoint, Term};
+use fulmarrill_position::{DatabaseName, LogPoint, SessionPosition, Term};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use smol::net::TcpStream;
 use thiserror::Error;
@@ -52,6 +52,7 @@
 #[derive(Debug, Clone)]
 struct OpenTransaction {
     owner: HostName,
+    database: DatabaseName,
     instance: InstanceId,
     lead: Option<Term>,
     pin: PinId,
@@ -80,7 +81,9 @@
     customer: CompactString,
     values: SessionValues,
     prepared: HashMap<PreparedName, PreparedShape>,
-    own_point: Option<LogPoint>,
+    /// How far the session's own commits reach, in each database: the
+    /// configuration may lead an endpoint to another one.
+    own: SessionPosition,
     transaction: SessionTransaction,
 }
 
@@ -104,7 +107,7 @@
         customer: CompactString::default(),
         values: SessionValues::default(),
         prepared: HashMap::new(),
-        own_point: None,
+        own: SessionPosition::new(),
         transaction: SessionTransaction::Idle,
     };
     if let Err(error) = session.serve().await {
@@ -380,6 +383,7 @@
         };
         let step = WorkStep::Continue(open.pin);
         let mut request = self.request(step, WorkStatement::Rollback);
+        request.database = open.database;
         request.instance = open.instance;
         request.deadline = Instant::now() + ABANDON_TIME;
         let context = self.context.clone();
@@ -429,12 +433,14 @@
 
     async fn run_in(&self, open: &OpenTransaction, statement: WorkStatement) -> RoutedAnswer {
         let mut request = self.request(WorkStep::Continue(open.pin), statement);
+        request.database.clone_from(&open.database);
         request.instance = open.instance.clone();
         request.lead = open.lead;
         let answer = continue_work(&self.context, &open.owner, request).await;
         RoutedAnswer {
             answer,
             owner: open.owner.clone(),
+            database: open.database.clone(),
             instance: open.instance.clone(),
             lead: open.lead,
             floor: None,
@@ -451,7 +457,7 @@
             &self.context,
             &request.database,
             freshness,
-            self.own_point,
+            self.own.floor(&request.database),
             request.deadline,
         );
         let floor = floor.await;
@@ -493,18 +499,19 @@
         else {
             return;
         };
+        if let (Some(_), true, None, Some(point)) = (routed.lead, writes, pin, point) {
+            self.own.advance(&routed.database, point);
+        }
         self.transaction = match pin {
             Some(pin) => SessionTransaction::Open(OpenTransaction {
                 owner: routed.owner,
+                database: routed.database,
                 instance: routed.instance,
                 lead: routed.lead,
                 pin,
             }),
             None => SessionTransaction::Idle,
         };
-        if routed.lead.is_some() && writes && pin.is_none() {
-            self.own_point = self.own_point.max(point);
-        }
         for row in rows {
             self.reply(&CallerReply::Row(row));
         }
--- a/crates/proxy/src/records.rs
+++ b/crates/proxy/src/records.rs
@@ -30,7 +30,7 @@
 /// twentieth of the calls that the store takes at the two-year size.
 const FLUSH_INTERVAL: Duration = Duration::from_secs(20);
 /// Time between two tries while the store does not take the journal.
-const RETRY_INTERVAL: Duration = Duration::from_secs(3);
+const RETRY_INTERVAL: Duration = Duration::from_secs(8);
 /// Bytes of records after which a segment is cut early. Packed they are at most
 /// as many, and written as text a third more: half of what the store takes.
 const SEGMENT_BYTES: usize = 384 << 10;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -163,6 +163,7 @@
 pub struct StoreSight {
     overdue_at: Mutex<Instant>,
     heard: AtomicBool,
+    answers: AtomicBool,
     wanted: AtomicBool,
     changed: Event,
 }
@@ -174,6 +175,7 @@
         Self {
             overdue_at: Mutex::new(now + START_TIME),
             heard: AtomicBool::new(false),
+            answers: AtomicBool::new(true),
             wanted: AtomicBool::new(false),
             changed: Event::new(),
         }
@@ -198,11 +200,29 @@
             .unwrap_or_else(PoisonError::into_inner);
         *overdue_at = now + OVERDUE_TIME;
         drop(overdue_at);
-        if !self.heard.swap(true, Ordering::SeqCst) {
+        let was_heard = self.heard.swap(true, Ordering::SeqCst);
+        let did_answer = self.answers.swap(true, Ordering::SeqCst);
+        if !was_heard || !did_answer {
             self.changed.notify(usize::MAX);
         }
     }
 
+    /// Notes that the watch over terms failed.
+    pub fn note_failure(&self) {
+        self.answers.store(false, Ordering::SeqCst);
+    }
+
+    /// Returns once the last call of the watch over terms was answered.
+    pub async fn answering(&self) {
+        loop {
+            let listener = self.changed.listen();
+            if self.answers.load(Ordering::SeqCst) {
+                return;
+            }
+            listener.await;
+        }
+    }
+
     /// Whether the next answer is overdue.
     #[must_use]
     pub fn is_overdue(&self, now: Instant) -> bool {
