A neighbour has copies of what no owner on another host keeps

Ruled out: a copy before each answer; a shorter flush, which costs a call to the store for each host. Change: once a second each host copies the records of what went to no other host, and of refusals, to a neighbour in its data centre, which treats them as what it ran. Conclusion: open are hosts that end within a second, or together.

--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -318,13 +318,21 @@
     }
 
     /// Notes a request in its customer's record.
-    fn note(&self, id: &StatementId, statement: &CompactString, error: Option<ErrorKind>) {
+    /// `owner` is the host that ran it, empty for none.
+    fn note(
+        &self,
+        id: &StatementId,
+        statement: &CompactString,
+        error: Option<ErrorKind>,
+        owner: &str,
+    ) {
         self.context.records.note(&EndedRequest {
             customer: &self.customer,
             endpoint: &self.endpoint.name,
             id,
             statement,
             error,
+            went_to_other: !owner.is_empty() && owner != self.context.place.host,
         });
     }
 
@@ -336,7 +344,7 @@
         kind: ErrorKind,
         text: &str,
     ) {
-        self.note(id, &statement.text(), Some(kind));
+        self.note(id, &statement.text(), Some(kind), "");
         self.refuse(kind, text);
     }
 
@@ -370,7 +378,7 @@
             self.refuse_statement(id, &statement, ErrorKind::Malformed, NO_TRANSACTION);
             return;
         }
-        self.note(id, &statement.text(), None);
+        self.note(id, &statement.text(), None, "");
         self.abandon();
         self.succeed();
     }
@@ -474,7 +482,8 @@
     ) {
         let told = explain(&routed.answer, writes);
         self.report(start, &routed, told.as_ref());
-        self.note(&start.id, &start.text, told.as_ref().map(|(kind, _)| *kind));
+        let error = told.as_ref().map(|(kind, _)| *kind);
+        self.note(&start.id, &start.text, error, &routed.owner);
         if let Some((kind, text)) = told {
             let in_transaction = !matches!(self.transaction, SessionTransaction::Idle);
             self.transaction = if in_transaction && !commits {
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -7,6 +7,7 @@
 
 use fulmarrill_link::{LinkProtocol, LinkTiming};
 use fulmarrill_position::{DatabaseName, LogPoint, Term};
+use fulmarrill_records::JournalRecord;
 
 use crate::catalogue::{InstanceId, RunName};
 use crate::relay::{HostKnowledge, LearnQuestion};
@@ -28,6 +29,8 @@
     Position(DatabaseName),
     /// Asks for what the host knows of the store.
     Learn(LearnQuestion),
+    /// Gives the host copies of records, to keep for a while.
+    Copy(Vec<JournalRecord>),
     /// Asks whether the host reaches an instance.
     Reach(InstanceId),
     /// Asks a run of the host to give a term up for good.
@@ -53,6 +56,8 @@
     Knowledge(Box<HostKnowledge>),
     /// Whether the host reaches the instance.
     Reaches(bool),
+    /// The copies are kept.
+    Copied,
     /// The term is given up, or the run that held it has ended.
     Released,
 }
--- a/crates/proxy/src/peers/wire.rs
+++ b/crates/proxy/src/peers/wire.rs
@@ -10,6 +10,7 @@
 
 use compact_str::CompactString;
 use fulmarrill_position::{DatabaseName, LogPoint, Term};
+use fulmarrill_records::{JournalRecord, RequestOutcome};
 use serde::{Deserialize, Serialize};
 
 use crate::catalogue::RunName;
@@ -150,6 +151,48 @@
     }
 }
 
+/// [`JournalRecord`] of a live host on the wire: its fields in order.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct WireRecord(
+    u64,
+    CompactString,
+    CompactString,
+    CompactString,
+    CompactString,
+    RequestOutcome,
+    CompactString,
+);
+
+impl From<JournalRecord> for WireRecord {
+    fn from(record: JournalRecord) -> Self {
+        Self(
+            record.at_ms,
+            record.customer,
+            record.endpoint,
+            record.id,
+            record.statement,
+            record.outcome,
+            record.error,
+        )
+    }
+}
+
+impl From<WireRecord> for JournalRecord {
+    fn from(wire: WireRecord) -> Self {
+        let WireRecord(at_ms, customer, endpoint, id, statement, outcome, error) = wire;
+        Self {
+            at_ms,
+            customer,
+            endpoint,
+            id,
+            statement,
+            outcome,
+            error,
+            noted_for: CompactString::default(),
+        }
+    }
+}
+
 /// [`ProxyCall`] on the wire.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum WireCall {
@@ -162,6 +205,9 @@
     /// A question for what the host knows.
     #[serde(rename = "k")]
     Learn(LearnQuestion),
+    /// Copies of records.
+    #[serde(rename = "c")]
+    Copy(Vec<WireRecord>),
     /// An instance to reach.
     #[serde(rename = "h")]
     Reach(CompactString),
@@ -175,6 +221,7 @@
         match call {
             ProxyCall::Run(request) => Self::Run(Box::new((*request).into())),
             ProxyCall::Position(database) => Self::Position(database),
+            ProxyCall::Copy(records) => Self::Copy(records.into_iter().map(Into::into).collect()),
             ProxyCall::Reach(instance) => Self::Reach(instance),
             ProxyCall::Learn(question) => Self::Learn(question),
             ProxyCall::Release {
@@ -191,6 +238,7 @@
         match wire {
             WireCall::Run(request) => Self::Run(Box::new((*request).into())),
             WireCall::Position(database) => Self::Position(database),
+            WireCall::Copy(records) => Self::Copy(records.into_iter().map(Into::into).collect()),
             WireCall::Reach(instance) => Self::Reach(instance),
             WireCall::Learn(question) => Self::Learn(question),
             WireCall::Release(database, term, run) => Self::Release {
@@ -231,6 +279,9 @@
     /// Whether an instance is reached.
     #[serde(rename = "h")]
     Reaches(bool),
+    /// Copies are kept.
+    #[serde(rename = "c")]
+    Copied,
     /// A term was given up.
     #[serde(rename = "r")]
     Released,
@@ -254,6 +305,7 @@
             }
             ProxyReply::Knowledge(knowledge) => Self::Knowledge(knowledge),
             ProxyReply::Reaches(reaches) => Self::Reaches(reaches),
+            ProxyReply::Copied => Self::Copied,
             ProxyReply::Released => Self::Released,
         }
     }
@@ -276,6 +328,7 @@
             }
             WireReply::Knowledge(knowledge) => Self::Knowledge(knowledge),
             WireReply::Reaches(reaches) => Self::Reaches(reaches),
+            WireReply::Copied => Self::Copied,
             WireReply::Released => Self::Released,
         }
     }
--- a/crates/proxy/src/records.rs
+++ b/crates/proxy/src/records.rs
@@ -4,15 +4,16 @@
 //! in compressed blocks. Until then a second host has it as well: the owner that
 //! ran it keeps what it ran for each other host a little longer than that host
 //! needs to write its journal, and notes it in its own if that host ends first.
-//! That costs no message of its own. Lost are only requests whose entry and
-//! owner end within one flush, or are the same host, and that ended without
-//! notice.
+//! That costs no message of its own. What went to no other host is copied to a
+//! neighbour once a second. Lost are only requests of hosts that end within that
+//! second, or together with the host that has the copy.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
 use compact_str::CompactString;
+use fulmarrill_ownership::rank_hosts;
 use fulmarrill_position::DatabaseName;
 use fulmarrill_records::{
     JournalRecord, JournalSegment, RecordLimit, RequestJournal, RequestOutcome,
@@ -24,6 +25,7 @@
 use crate::catalogue::{HostEntry, HostName, RunName};
 use crate::codec::ErrorKind;
 use crate::context::SharedContext;
+use crate::peers::ProxyCall;
 use crate::work::{WorkAnswer, WorkRequest};
 
 /// Time between two writes of the journal. One call a host in this time is a
@@ -31,6 +33,10 @@
 const FLUSH_INTERVAL: Duration = Duration::from_secs(20);
 /// Time between two tries while the store does not take the journal.
 const RETRY_INTERVAL: Duration = Duration::from_secs(8);
+/// Time between two copies of what no other host has seen.
+const COPY_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for one copy; the next one does not wait for it.
+const COPY_TIME: Duration = Duration::from_millis(800);
 /// Bytes of records after which a segment is cut early. Packed they are at most
 /// as many, and written as text a third more: half of what the store takes.
 const SEGMENT_BYTES: usize = 384 << 10;
@@ -70,6 +76,8 @@
     pub statement: &'a CompactString,
     /// What the caller was told; none for a success.
     pub error: Option<ErrorKind>,
+    /// Whether the owner on another host was asked to run it.
+    pub went_to_other: bool,
 }
 
 /// How a request ended, from what its caller was told.
@@ -117,6 +125,8 @@
 #[derive(Debug)]
 pub struct RecordKeeper {
     journal: Mutex<RequestJournal>,
+    /// Records that no other host has yet.
+    unshared: Mutex<Vec<JournalRecord>>,
     witnessed: Mutex<HashMap<RunName, WitnessedRun>>,
 }
 
@@ -126,6 +136,7 @@
     pub fn new(run: &RunName) -> Self {
         Self {
             journal: Mutex::new(RequestJournal::new(run)),
+            unshared: Mutex::default(),
             witnessed: Mutex::default(),
         }
     }
@@ -142,7 +153,7 @@
 
     /// Notes a request of a session of this host.
     pub fn note(&self, request: &EndedRequest<'_>) {
-        self.append(JournalRecord {
+        let record = JournalRecord {
             at_ms: now_ms(),
             customer: request.customer.clone(),
             endpoint: request.endpoint.clone(),
@@ -151,7 +162,23 @@
             outcome: outcome_of(request.error),
             error: request.error.map_or("", ErrorKind::name).into(),
             noted_for: CompactString::default(),
-        });
+        };
+        // An owner keeps only what may have run.
+        let is_witnessed = request.went_to_other && record.outcome != RequestOutcome::NotRun;
+        if !is_witnessed {
+            self.unshared().push(record.clone());
+        }
+        self.append(record);
+    }
+
+    fn unshared(&self) -> MutexGuard<'_, Vec<JournalRecord>> {
+        self.unshared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the records that no other host has.
+    #[must_use]
+    pub fn take_unshared(&self) -> Vec<JournalRecord> {
+        std::mem::take(&mut *self.unshared())
     }
 
     fn append(&self, record: JournalRecord) {
@@ -185,8 +212,13 @@
             statement: note.statement,
             outcome,
             error: CompactString::default(),
-            noted_for: host.run.clone(),
+            noted_for: CompactString::default(),
         };
+        self.hold_copies(host, now, vec![record]);
+    }
+
+    /// Keeps records of another host, on a link from it that is open.
+    pub fn hold_copies(&self, host: &HostEntry, now: Instant, records: Vec<JournalRecord>) {
         let mut witnessed = self.witnessed();
         let held = witnessed
             .entry(host.run.clone())
@@ -196,7 +228,10 @@
                 ends_at: None,
             });
         held.ends_at = None;
-        held.records.push_back((now + WITNESS_TIME, record));
+        for mut record in records {
+            record.noted_for.clone_from(&host.run);
+            held.records.push_back((now + WITNESS_TIME, record));
+        }
     }
 
     /// Notes that a link from a host has closed: unless it sends more work, it
@@ -284,3 +319,47 @@
         Timer::after(interval).await;
     }
 }
+
+/// The host that gets copies: the first one in line of the own data centre, or of
+/// the region if there is no other.
+fn neighbour(context: &SharedContext) -> Option<CompactString> {
+    let view = context.view.load();
+    let place = &context.place;
+    let others = view
+        .hosts
+        .values()
+        .filter(|host| host.name != place.host && !context.peers.is_avoided(&host.address));
+    let mut found: Option<&HostEntry> = None;
+    for name in rank_hosts(&place.host, others.map(|host| host.name.as_str())) {
+        let Some(host) = view.hosts.get(name) else {
+            continue;
+        };
+        if host.data_centre == place.data_centre {
+            return Some(host.address.clone());
+        }
+        if host.region == place.region {
+            found = found.or(Some(host));
+        }
+    }
+    found.map(|host| host.address.clone())
+}
+
+/// Copies what no other host has to a neighbour, for as long as the task lives.
+pub async fn run_copies(context: SharedContext) {
+    loop {
+        Timer::after(COPY_INTERVAL).await;
+        let records = context.records.take_unshared();
+        if records.is_empty() {
+            continue;
+        }
+        let Some(address) = neighbour(&context) else {
+            continue;
+        };
+        let deadline = Instant::now() + COPY_TIME;
+        let count = records.len();
+        let call = ProxyCall::Copy(records);
+        if let Err(error) = context.peers.call(&address, call, deadline).await {
+            log::warn!("{count} records are held by this host alone: {error}");
+        }
+    }
+}
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -17,7 +17,7 @@
 use crate::control::{ControlAction, ControlEvent, ControlState};
 use crate::entry::session::serve_caller;
 use crate::peers::{LINK_TIMING, ProxyCall, ProxyProtocol, ProxyReply};
-use crate::records::WitnessNote;
+use crate::records::{WitnessNote, run_copies};
 use crate::relay::{answer_question, run_relay};
 
 /// Time between two rounds of upkeep; idle transactions end that much late.
@@ -182,6 +182,12 @@
             }
             ProxyReply::Work(answer)
         }
+        ProxyCall::Copy(records) => {
+            if let Some(host) = context.view.load().hosts.get(from) {
+                context.records.hold_copies(host, Instant::now(), records);
+            }
+            ProxyReply::Copied
+        }
         ProxyCall::Position(database) => {
             let known = context.owners.primary_position(&database).await;
             ProxyReply::Position(known.map(|(as_of, point)| (BootTime::now().since(as_of), point)))
@@ -253,6 +259,7 @@
         fulmarrill_runtime::spawn(accept_callers(context.clone(), callers)),
         fulmarrill_runtime::spawn(answer_peers(context.clone(), peers, control.clone())),
         fulmarrill_runtime::spawn(run_upkeep(context.clone(), control.clone())),
+        fulmarrill_runtime::spawn(run_copies(context.clone())),
         fulmarrill_runtime::spawn(run_relay(context.clone(), control)),
     ]
 }
--- a/crates/proxy/tests/records.rs
+++ b/crates/proxy/tests/records.rs
@@ -3,8 +3,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
 use fulmarrill_proxy::catalogue::HostEntry;
-use fulmarrill_proxy::records::{RecordKeeper, SegmentWriter, WitnessNote};
+use fulmarrill_proxy::codec::ErrorKind;
+use fulmarrill_proxy::records::{EndedRequest, RecordKeeper, SegmentWriter, WitnessNote};
 use fulmarrill_proxy::statement::SessionValues;
 use fulmarrill_proxy::work::{NotRunReason, WorkAnswer, WorkRequest, WorkStatement, WorkStep};
 use fulmarrill_records::{JournalRecord, JournalSegment};
@@ -111,6 +113,39 @@
     assert_eq!(records[0].noted_for, "h2~1");
 }
 
+fn ended(id: &str, error: Option<ErrorKind>, went_to_other: bool, keeper: &RecordKeeper) {
+    let text = |text: &str| CompactString::from(text);
+    keeper.note(&EndedRequest {
+        customer: &text("stall-7"),
+        endpoint: &text("renewals"),
+        id: &text(id),
+        statement: &text("write k v"),
+        error,
+        went_to_other,
+    });
+}
+
+#[test]
+fn what_no_owner_on_another_host_keeps_is_copied_once() {
+    let keeper = RecordKeeper::new(&"h2~1".into());
+    ended("ran-here", None, false, &keeper);
+    ended("ran-there", None, true, &keeper);
+    ended("refused-there", Some(ErrorKind::Busy), true, &keeper);
+    let copied = keeper.take_unshared();
+    let ids: Vec<_> = copied.iter().map(|record| record.id.as_str()).collect();
+    assert_eq!(ids, ["ran-here", "refused-there"]);
+    assert!(keeper.take_unshared().is_empty());
+
+    let neighbour = RecordKeeper::new(&"h1~1".into());
+    let now = Instant::now();
+    neighbour.hold_copies(&host("h2~1"), now, copied);
+    neighbour.note_link_closed("h2", now);
+    neighbour.upkeep(now + Duration::from_secs(6));
+    let noted = written(&neighbour);
+    assert_eq!(noted.len(), 2);
+    assert!(noted.iter().all(|record| record.noted_for == "h2~1"));
+}
+
 #[rstest]
 #[case::not_run(WorkAnswer::NotRun(NotRunReason::Overload), 0)]
 #[case::unknown(WorkAnswer::Unknown, 1)]
