--- a/crates/proxy/tests/leases.rs
+++ b/crates/proxy/tests/leases.rs
@@ -140,16 +140,20 @@
                 self.release(host, told);
             }
             Step::Promote if self.record.changed_by.is_some() => self.promote(),
-            Step::Join(host) if self.record.changed_by.is_none() => {
-                if !self.record.holders.contains(&run_of(host)) {
-                    self.record.holders.push(run_of(host));
-                    self.version += 1;
-                }
-            }
+            Step::Join(host) if self.record.changed_by.is_none() => self.join(host),
             _ => {}
         }
     }
 
+    fn join(&mut self, host: usize) {
+        let run = run_of(host);
+        if self.record.holders.contains(&run) {
+            return;
+        }
+        self.record.holders.push(run);
+        self.version += 1;
+    }
+
     fn deliver(&mut self, host: usize) {
         let Some((asked_at, record, version)) = self.answers[host].pop_front() else {
             return;
