--- a/crates/replication/src/monitor.rs
+++ b/crates/replication/src/monitor.rs
@@ -7,10 +7,6 @@
 
 use crate::group::DatabaseGroup;
 
-/// Checks in one silence limit at the least; a longer gap between two checks
-/// means that this host did not run. The coordinator checks twice as often.
-const CHECKS_PER_LIMIT: u32 = 4;
-
 /// What the monitor makes of a group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MonitorVerdict {
@@ -36,9 +32,9 @@
 
 /// Watches one group from one host.
 ///
-/// The monitor counts only time in which it was checked often enough, so that a
-/// host that was itself stopped or starved for a while does not take its own
-/// silence for the primary's: see [`GroupMonitor::resume`].
+/// The monitor counts time only between observations, so that a host that was
+/// itself stopped for a while does not take its own silence for the primary's:
+/// see [`GroupMonitor::resume`].
 #[derive(Debug, Clone)]
 pub struct GroupMonitor {
     silence_limit: Duration,
@@ -117,37 +113,14 @@
         MonitorVerdict::NoMajority
     }
 
-    /// Leaves out the time in which this host itself did not run: a host that
-    /// was stopped starts anew, and one that gets too little of its processor
-    /// counts only the time that it watched.
     fn notice_pause(&mut self, now: Instant) {
-        let last_check_at = self.last_check_at.replace(now);
-        let Some(last_check_at) = last_check_at else {
-            return;
-        };
-        let gap = now.saturating_duration_since(last_check_at);
-        if gap > self.silence_limit {
+        let paused = self
+            .last_check_at
+            .is_some_and(|last| now.saturating_duration_since(last) > self.silence_limit);
+        if paused {
             self.resume();
-            return;
-        }
-        let unwatched = gap.saturating_sub(self.silence_limit / CHECKS_PER_LIMIT);
-        if unwatched > Duration::ZERO {
-            self.leave_out(now, unwatched);
-        }
-    }
-
-    fn leave_out(&mut self, now: Instant, unwatched: Duration) {
-        for view in self.views.values_mut() {
-            view.heard_at = now.min(view.heard_at + unwatched);
-        }
-        let times = [
-            &mut self.primary_lost_since,
-            &mut self.isolated_since,
-            &mut self.unled_since,
-        ];
-        for time in times.into_iter().flatten() {
-            *time = now.min(*time + unwatched);
         }
+        self.last_check_at = Some(now);
     }
 
     /// A new primary is judged from now on: what was heard of it before, as a
