--- a/crates/proxy/src/peers/wire.rs
+++ b/crates/proxy/src/peers/wire.rs
@@ -10,7 +10,7 @@
 
 use compact_str::CompactString;
 use fulmarrill_position::{DatabaseName, LogPoint, Term};
-use fulmarrill_records::{JournalRecord, RequestOutcome};
+use fulmarrill_records::WireRecord;
 use serde::{Deserialize, Serialize};
 
 use crate::catalogue::RunName;
@@ -151,48 +151,6 @@
     }
 }
 
-/// [`JournalRecord`] of a live host on the wire: its fields in order.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct WireRecord(
-    u64,
-    CompactString,
-    CompactString,
-    CompactString,
-    CompactString,
-    RequestOutcome,
-    CompactString,
-);
-
-impl From<JournalRecord> for WireRecord {
-    fn from(record: JournalRecord) -> Self {
-        Self(
-            record.at_ms,
-            record.customer,
-            record.endpoint,
-            record.id,
-            record.statement,
-            record.outcome,
-            record.error,
-        )
-    }
-}
-
-impl From<WireRecord> for JournalRecord {
-    fn from(wire: WireRecord) -> Self {
-        let WireRecord(at_ms, customer, endpoint, id, statement, outcome, error) = wire;
-        Self {
-            at_ms,
-            customer,
-            endpoint,
-            id,
-            statement,
-            outcome,
-            error,
-            noted_for: CompactString::default(),
-        }
-    }
-}
-
 /// [`ProxyCall`] on the wire.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum WireCall {
--- a/crates/records/src/journal.rs
+++ b/crates/records/src/journal.rs
@@ -51,8 +51,10 @@
     }
 }
 
-/// [`JournalRecord`] in a block: its fields in order, without names.
-type WireRecord = (
+/// [`JournalRecord`] in a block and between hosts: its fields in order, without
+/// names.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct WireRecord(
     u64,
     CompactString,
     CompactString,
@@ -63,10 +65,9 @@
     CompactString,
 );
 
-impl From<&JournalRecord> for WireRecord {
-    fn from(record: &JournalRecord) -> Self {
-        let record = record.clone();
-        (
+impl From<JournalRecord> for WireRecord {
+    fn from(record: JournalRecord) -> Self {
+        Self(
             record.at_ms,
             record.customer,
             record.endpoint,
@@ -81,7 +82,7 @@
 
 impl From<WireRecord> for JournalRecord {
     fn from(wire: WireRecord) -> Self {
-        let (at_ms, customer, endpoint, id, statement, outcome, error, noted_for) = wire;
+        let WireRecord(at_ms, customer, endpoint, id, statement, outcome, error, noted_for) = wire;
         Self {
             at_ms,
             customer,
@@ -119,7 +120,7 @@
         start_hash: ChainHash,
         records: &[JournalRecord],
     ) -> Result<Self, SegmentError> {
-        let wire: Vec<WireRecord> = records.iter().map(WireRecord::from).collect();
+        let wire: Vec<WireRecord> = records.iter().cloned().map(WireRecord::from).collect();
         let mut bytes = Vec::new();
         ciborium::into_writer(&wire, &mut bytes)
             .map_err(|error| SegmentError::Block(error.to_string().into()))?;
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -25,7 +25,9 @@
 mod segment;
 
 pub use crate::chain::RecordChain;
-pub use crate::journal::{JournalRecord, JournalSegment, JournalVerifier, RequestJournal};
+pub use crate::journal::{
+    JournalRecord, JournalSegment, JournalVerifier, RequestJournal, WireRecord,
+};
 pub use crate::limit::RecordLimit;
 pub use crate::record::{ChainHash, RequestOutcome, RequestRecord, chain_hash, first_hash};
 pub use crate::segment::{
