Hand a change of primary on when the store refuses; find dark primaries sooner

The owner had found its primary stalled at 7.35 s and probed it only at 8.3 s, since the last answer had come after all outstanding commands were sent. And the change asked the dark primary to step down (500 ms) before it asked the holders, one after the other.

Ruled out: shorter turns (hosts that do not know of each other's tries then race at each change), giving refused writes up early (one that the store lets in again loses its turn).

Change: a host whose reservation fails hands its turn to the next host in line that answers, once, and goes on trying; whoever writes a term tells the heads of the lines to ask it, since the store may be closed to them. A stalled instance is probed. Holders and members are asked at the same time, a primary that this host failed to reach is not asked first. At most ten hosts of a data centre are asked whether they reach a primary. What lapsed is dropped also while news come.

--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -5,17 +5,22 @@
 //! more: it steps down, or every holder of the term has given it up, is proved
 //! to have ended, or has let its lease run out. Only then is the instance with
 //! the newest log promoted.
+//!
+//! A host that the store does not let reserve the term hands its turn to the
+//! next one in line and goes on trying: whoever is first, one reservation stands.
 
 pub mod candidate;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use fulmarrill_link::LinkError;
-use fulmarrill_position::{LogPoint, Term};
+use fulmarrill_ownership::rank_hosts;
+use fulmarrill_position::{DatabaseName, LogPoint, Term};
+use futures_util::future::join_all;
 use smol::Timer;
 
-use crate::catalogue::{HostEntry, InstanceEntry, ObjectVersion, RunName, TermRecord};
+use crate::catalogue::{HostEntry, HostName, InstanceEntry, ObjectVersion, RunName, TermRecord};
 use crate::change::candidate::{ChangeCandidate, choose_candidate};
 use crate::clock::BootTime;
 use crate::codec::{DatabaseCommand, DatabaseRole, DatabaseStatus};
@@ -24,6 +29,7 @@
 use crate::peers::ProxyCall;
 use crate::peers::ProxyReply;
 use crate::port::{ControlPort, PromoteOrder, PromoteOutcome};
+use crate::relay::tell_heads;
 use crate::server::{ControlMessage, ControlSender, release_term};
 use crate::view::TrafficView;
 
@@ -36,6 +42,10 @@
 const WRITE_TIME: Duration = Duration::from_secs(3);
 /// Time for one question to a host or an instance.
 const ASK_TIME: Duration = Duration::from_millis(500);
+/// Hosts of each data centre that are asked whether they reach a primary. Their
+/// number does not grow with the fleet; if half of a data centre's hosts reach
+/// it, all of these miss it once in a thousand times.
+const WITNESSES_MAX: usize = 10;
 /// Time between two rounds of questions.
 const ROUND_INTERVAL: Duration = Duration::from_millis(60);
 /// Time for a replica to receive what a primary that stepped down has.
@@ -85,7 +95,15 @@
     reserved.changed_by = Some(context.place.run.clone());
     let begun_at = BootTime::now();
     let deadline = Instant::now() + WRITE_TIME;
-    let Some(version) = port.write_settled(&reserved, version, deadline).await else {
+    let mut has_handed = false;
+    let on_failure = || {
+        if !std::mem::replace(&mut has_handed, true) {
+            let handing = hand_change(context.clone(), database.into(), version);
+            fulmarrill_runtime::spawn(handing).detach();
+        }
+    };
+    let reserving = port.write_settled(&reserved, version, deadline, on_failure);
+    let Some(version) = reserving.await else {
         log::info!("{database}: the change is left to others");
         return;
     };
@@ -104,30 +122,81 @@
     }
 }
 
+/// Hands the turn to change a primary to the first host behind this one in line
+/// that answers.
+async fn hand_change(context: SharedContext, database: DatabaseName, version: ObjectVersion) {
+    let view = context.view.load();
+    for host in hosts_behind(&view, &database, &context.place.host) {
+        if context.peers.is_avoided(&host.address) {
+            continue;
+        }
+        let call = ProxyCall::HandChange {
+            database: database.clone(),
+            version,
+        };
+        let deadline = Instant::now() + ASK_TIME;
+        let reply = context.peers.call(&host.address, call, deadline).await;
+        if matches!(reply, Ok(ProxyReply::Handed)) {
+            log::info!(
+                "{database}: the store is closed to this host, {} changes the primary",
+                host.name
+            );
+            return;
+        }
+    }
+    log::warn!("{database}: nobody takes the turn to change the primary over");
+}
+
+/// The hosts behind `own` in the line for a database, and then those before it.
+fn hosts_behind<'a>(view: &'a TrafficView, database: &str, own: &str) -> Vec<&'a HostEntry> {
+    let mut line = Vec::new();
+    for name in rank_hosts(database, view.hosts.keys().map(HostName::as_str)) {
+        line.extend(view.hosts.get(name));
+    }
+    if let Some(place) = line.iter().position(|host| host.name == own) {
+        line.rotate_left(place);
+        line.remove(0);
+    }
+    line
+}
+
+/// The hosts that are asked whether they reach an instance.
+#[must_use]
+pub fn witnesses_of<'a>(view: &'a TrafficView, instance: &str) -> Vec<&'a HostEntry> {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut witnesses = Vec::new();
+    for name in rank_hosts(instance, view.hosts.keys().map(HostName::as_str)) {
+        let Some(host) = view.hosts.get(name) else {
+            continue;
+        };
+        let count = counts.entry(host.data_centre.as_str()).or_default();
+        if *count < WITNESSES_MAX {
+            *count += 1;
+            witnesses.push(host);
+        }
+    }
+    witnesses
+}
+
 /// Whether any other host reaches an instance.
 async fn is_reached_by_others(
     context: &SharedContext,
     view: &TrafficView,
     instance: &crate::catalogue::InstanceId,
 ) -> bool {
-    let mut asked = Vec::new();
-    for host in view.hosts.values() {
+    let mut asking = Vec::new();
+    for host in witnesses_of(view, instance) {
         if host.name == context.place.host || context.peers.is_avoided(&host.address) {
             continue;
         }
-        let (context, address) = (context.clone(), host.address.clone());
         let call = ProxyCall::Reach(instance.clone());
-        asked.push(fulmarrill_runtime::spawn(async move {
+        asking.push(async move {
             let deadline = Instant::now() + ASK_TIME;
-            let reply = context.peers.call(&address, call, deadline).await;
+            let reply = context.peers.call(&host.address, call, deadline).await;
             matches!(reply, Ok(ProxyReply::Reaches(true)))
-        }));
+        });
     }
-    let mut reached = false;
-    for answer in asked {
-        reached |= answer.await;
-    }
-    reached
+    join_all(asking).await.contains(&true)
 }
 
 impl PrimaryChange<'_> {
@@ -139,6 +208,9 @@
         };
         // Fails only while the process ends.
         self.control.send(ControlMessage::Event(event)).ok();
+        let database = self.record.database.clone();
+        let telling = tell_heads(self.context.clone(), database, self.version);
+        fulmarrill_runtime::spawn(telling).detach();
     }
 
     /// Whether the reservation still stands, so that orders may be given.
@@ -197,6 +269,16 @@
         self.context.owners.read_status(&answer)
     }
 
+    /// Whether this host failed to reach the old primary a moment ago.
+    fn is_out_of_reach(&self) -> bool {
+        let view = self.context.view.load();
+        let Some(instance) = view.instances.get(&self.record.primary) else {
+            return true;
+        };
+        let owner = self.context.owners.owner(&view, instance);
+        owner.monitor().health().is_failing()
+    }
+
     /// Ends the term at the old primary itself, if it can be reached.
     async fn step_down(&self, term: Term) -> Option<DatabaseStatus> {
         let view = self.context.view.load();
@@ -213,16 +295,15 @@
         let database = &self.record.database;
         let mut holding: BTreeSet<RunName> = self.record.holders.iter().cloned().collect();
         let lapsed_at = BootTime::now().after(LEASE_TIME + LEASE_MARGIN);
+        // One that does not answer would hold the holders' answers up.
+        let mut asks_primary = !self.is_out_of_reach();
         loop {
-            if let Some(status) = self.step_down(term + 1).await {
+            if asks_primary && let Some(status) = self.step_down(term + 1).await {
                 log::info!("{database}: stepped down at {}", status.received);
                 return Some(status);
             }
-            for run in holding.clone() {
-                if self.has_given_up(&run, term).await {
-                    holding.remove(&run);
-                }
-            }
+            asks_primary = true;
+            holding = self.still_holding(holding, term).await;
             if holding.is_empty() || BootTime::now() >= lapsed_at {
                 break;
             }
@@ -235,6 +316,16 @@
         None
     }
 
+    /// Those of some runs that have neither given the term up nor ended, all
+    /// asked at the same time.
+    async fn still_holding(&self, holding: BTreeSet<RunName>, term: Term) -> BTreeSet<RunName> {
+        let asking = holding.into_iter().map(|run| async move {
+            let given_up = self.has_given_up(&run, term).await;
+            (!given_up).then_some(run)
+        });
+        join_all(asking).await.into_iter().flatten().collect()
+    }
+
     /// Whether a run has given the term up, or has ended.
     async fn has_given_up(&self, run: &RunName, term: Term) -> bool {
         let database = self.record.database.clone();
@@ -267,21 +358,21 @@
         let until = Instant::now() + CATCH_UP_TIME;
         loop {
             let view = self.context.view.load();
-            let mut candidates = Vec::new();
-            for instance in view.members(&self.record.database) {
-                if instance.leaving || instance.id == self.record.primary {
-                    continue;
-                }
+            let others = view
+                .members(&self.record.database)
+                .filter(|instance| !instance.leaving && instance.id != self.record.primary);
+            let asking = others.map(|instance| async move {
                 // A replica that still receives from a primary which stepped
                 // down must not be stopped before it has everything.
                 let command = match floor {
                     Some(_) => DatabaseCommand::Status,
                     None => DatabaseCommand::Pause(term),
                 };
-                if let Some(status) = self.command(instance, command).await {
-                    candidates.push(ChangeCandidate { instance, status });
-                }
-            }
+                let status = self.command(instance, command).await?;
+                Some(ChangeCandidate { instance, status })
+            });
+            let answers = join_all(asking).await;
+            let candidates: Vec<ChangeCandidate> = answers.into_iter().flatten().collect();
             let chosen = choose_candidate(&candidates)?;
             let complete = floor.is_none_or(|floor| chosen.status.received >= floor);
             if complete || Instant::now() >= until {
@@ -344,7 +435,7 @@
         let deadline = Instant::now() + CHANGE_LIMIT;
         let written = self
             .port
-            .write_settled(&self.record, self.version, deadline)
+            .write_settled(&self.record, self.version, deadline, || ())
             .await;
         if let Some(version) = written {
             self.version = version;
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -72,6 +72,13 @@
     },
     /// The instances that this host cannot reach at present.
     Down(BTreeSet<InstanceId>),
+    /// Another host cannot begin a change of primary and hands its turn on.
+    Handed {
+        /// The database.
+        database: DatabaseName,
+        /// Version of the term record that gave the reason.
+        version: ObjectVersion,
+    },
     /// This host was told to leave and takes no new work as an owner.
     Leave,
     /// An instance's own word on the term that it leads.
@@ -115,6 +122,8 @@
     Gone,
     /// This host cannot reach it.
     Down,
+    /// Another host found a reason and cannot begin the change itself.
+    Handed,
     /// Whoever began to change the term did not finish.
     Abandoned,
 }
@@ -139,6 +148,7 @@
     missing: BTreeMap<InstanceId, Instant>,
     down: BTreeSet<InstanceId>,
     reasons: BTreeMap<DatabaseName, (ObjectVersion, ChangeReason, Instant)>,
+    handed: BTreeMap<DatabaseName, ObjectVersion>,
     leaving: bool,
 }
 
@@ -168,6 +178,7 @@
             missing: BTreeMap::new(),
             down: BTreeSet::new(),
             reasons: BTreeMap::new(),
+            handed: BTreeMap::new(),
             leaving: false,
         }
     }
@@ -187,8 +198,9 @@
         }
     }
 
-    /// Takes an event over.
+    /// Takes an event over, and drops what has lapsed meanwhile.
     pub fn handle(&mut self, now: Instant, event: ControlEvent) {
+        self.expire(now);
         match event {
             ControlEvent::Endpoints(table) => {
                 let newer = self
@@ -216,6 +228,9 @@
                 self.hosts = Arc::new(hosts);
             }
             ControlEvent::Down(down) => self.down = down,
+            ControlEvent::Handed { database, version } => {
+                self.handed.insert(database, version);
+            }
             ControlEvent::Leave => {
                 self.leaving = true;
                 Arc::make_mut(&mut self.hosts).remove(&self.own.name);
@@ -388,6 +403,7 @@
                 None => self.plan_first(&view, database, &mut actions),
                 Some(term) => {
                     self.plan_join(&view, &term, &mut actions);
+                    actions.extend(self.plan_handed(&term));
                     actions.extend(self.plan_change(now, &view, &term));
                 }
             }
@@ -427,6 +443,19 @@
         None
     }
 
+    /// Plans a change of primary that was handed to this host; once, since its
+    /// reason may have passed by the next time.
+    fn plan_handed(&mut self, term: &TermView) -> Option<ControlAction> {
+        let database = term.record.database.clone();
+        let version = self.handed.remove(&database)?;
+        let stands = version == term.version && term.record.changed_by.is_none();
+        stands.then_some(ControlAction::ChangePrimary {
+            database,
+            version,
+            reason: ChangeReason::Handed,
+        })
+    }
+
     /// Plans a change of primary once its reason has lasted.
     fn plan_change(
         &mut self,
--- a/crates/proxy/src/owner/monitor.rs
+++ b/crates/proxy/src/owner/monitor.rs
@@ -89,17 +89,20 @@
         owes && !self.health().heard_since(since)
     }
 
-    /// Whether the instance should be probed now: it failed, or owes an answer
-    /// for longer than a statement takes. Whoever gets a yes has to probe and
-    /// to say so by [`InstanceMonitor::end_probe`].
+    /// Whether the instance should be probed now: it failed, has been silent
+    /// since some command for longer than a statement takes, or is stalled.
+    /// Whoever gets a yes has to probe and to say so by
+    /// [`InstanceMonitor::end_probe`].
     #[must_use]
     pub fn begin_probe(&self, now: Instant) -> bool {
         let health = self.health();
-        let oldest = self.sent().iter().min().copied();
-        let silent = oldest.is_some_and(|at| {
-            now.saturating_duration_since(at) >= SILENCE_TIME && !health.heard_since(at)
+        let silent = self.sent().iter().any(|at| {
+            now.saturating_duration_since(*at) >= SILENCE_TIME && !health.heard_since(*at)
         });
-        (silent || health.is_failing()) && !self.probing.swap(true, Ordering::Relaxed)
+        // With every slot taken nothing more is sent, so that an answer may have
+        // come after all of what is owed.
+        let is_wanted = silent || self.is_stalled(now) || health.is_failing();
+        is_wanted && !self.probing.swap(true, Ordering::Relaxed)
     }
 
     /// Ends a probe.
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -9,7 +9,7 @@
 use fulmarrill_position::{DatabaseName, LogPoint, Term};
 use fulmarrill_records::JournalRecord;
 
-use crate::catalogue::{InstanceId, RunName};
+use crate::catalogue::{InstanceId, ObjectVersion, RunName};
 use crate::relay::{HostKnowledge, LearnQuestion};
 use crate::work::{WorkAnswer, WorkRequest};
 
@@ -29,10 +29,20 @@
     Position(DatabaseName),
     /// Asks for what the host knows of the store.
     Learn(LearnQuestion),
+    /// Says that this host has written a term; the host should ask it.
+    TermWritten,
     /// Gives the host copies of records, to keep for a while.
     Copy(Vec<JournalRecord>),
     /// Asks whether the host reaches an instance.
     Reach(InstanceId),
+    /// Leaves a change of primary to the host, because the store does not let
+    /// this one begin it.
+    HandChange {
+        /// The database.
+        database: DatabaseName,
+        /// Version of the term record that gave the reason.
+        version: ObjectVersion,
+    },
     /// Asks a run of the host to give a term up for good.
     Release {
         /// The database.
@@ -56,8 +66,12 @@
     Knowledge(Box<HostKnowledge>),
     /// Whether the host reaches the instance.
     Reaches(bool),
+    /// The host asks for the term.
+    Noted,
     /// The copies are kept.
     Copied,
+    /// The host tries to make the change.
+    Handed,
     /// The term is given up, or the run that held it has ended.
     Released,
 }
--- a/crates/proxy/src/peers/wire.rs
+++ b/crates/proxy/src/peers/wire.rs
@@ -13,7 +13,7 @@
 use fulmarrill_records::WireRecord;
 use serde::{Deserialize, Serialize};
 
-use crate::catalogue::RunName;
+use crate::catalogue::{ObjectVersion, RunName};
 use crate::codec::ErrorKind;
 use crate::peers::{ProxyCall, ProxyReply};
 use crate::relay::{HostKnowledge, LearnQuestion};
@@ -163,12 +163,18 @@
     /// A question for what the host knows.
     #[serde(rename = "k")]
     Learn(LearnQuestion),
+    /// A term was written.
+    #[serde(rename = "n")]
+    TermWritten,
     /// Copies of records.
     #[serde(rename = "c")]
     Copy(Vec<WireRecord>),
     /// An instance to reach.
     #[serde(rename = "h")]
     Reach(CompactString),
+    /// A change of primary to make, with the version of its record.
+    #[serde(rename = "t")]
+    HandChange(DatabaseName, ObjectVersion),
     /// A term to give up.
     #[serde(rename = "r")]
     Release(DatabaseName, Term, RunName),
@@ -182,6 +188,8 @@
             ProxyCall::Copy(records) => Self::Copy(records.into_iter().map(Into::into).collect()),
             ProxyCall::Reach(instance) => Self::Reach(instance),
             ProxyCall::Learn(question) => Self::Learn(question),
+            ProxyCall::TermWritten => Self::TermWritten,
+            ProxyCall::HandChange { database, version } => Self::HandChange(database, version),
             ProxyCall::Release {
                 database,
                 term,
@@ -199,6 +207,8 @@
             WireCall::Copy(records) => Self::Copy(records.into_iter().map(Into::into).collect()),
             WireCall::Reach(instance) => Self::Reach(instance),
             WireCall::Learn(question) => Self::Learn(question),
+            WireCall::TermWritten => Self::TermWritten,
+            WireCall::HandChange(database, version) => Self::HandChange { database, version },
             WireCall::Release(database, term, run) => Self::Release {
                 database,
                 term,
@@ -237,9 +247,15 @@
     /// Whether an instance is reached.
     #[serde(rename = "h")]
     Reaches(bool),
+    /// The host asks for a term.
+    #[serde(rename = "o")]
+    Noted,
     /// Copies are kept.
     #[serde(rename = "c")]
     Copied,
+    /// The host tries to make the change.
+    #[serde(rename = "t")]
+    Handed,
     /// A term was given up.
     #[serde(rename = "r")]
     Released,
@@ -263,7 +279,9 @@
             }
             ProxyReply::Knowledge(knowledge) => Self::Knowledge(knowledge),
             ProxyReply::Reaches(reaches) => Self::Reaches(reaches),
+            ProxyReply::Noted => Self::Noted,
             ProxyReply::Copied => Self::Copied,
+            ProxyReply::Handed => Self::Handed,
             ProxyReply::Released => Self::Released,
         }
     }
@@ -286,7 +304,9 @@
             }
             WireReply::Knowledge(knowledge) => Self::Knowledge(knowledge),
             WireReply::Reaches(reaches) => Self::Reaches(reaches),
+            WireReply::Noted => Self::Noted,
             WireReply::Copied => Self::Copied,
+            WireReply::Handed => Self::Handed,
             WireReply::Released => Self::Released,
         }
     }
--- a/crates/proxy/src/port.rs
+++ b/crates/proxy/src/port.rs
@@ -76,12 +76,14 @@
 impl ControlPort {
     /// Writes a record on the condition of a version, and settles a lost
     /// answer by reading the record back. `None` if somebody else was first,
-    /// or if nothing could be settled before `deadline`.
+    /// or if nothing could be settled before `deadline`. `on_failure` is called
+    /// for each try that did not bring an answer to the question.
     pub async fn write_settled(
         &self,
         record: &TermRecord,
         if_version: ObjectVersion,
         deadline: Instant,
+        mut on_failure: impl FnMut() + Send,
     ) -> Option<ObjectVersion> {
         loop {
             let unknown = match (self.write_term)(record.clone(), if_version).await {
@@ -96,6 +98,7 @@
                     _ => {}
                 }
             }
+            on_failure();
             if Instant::now() + SETTLE_INTERVAL >= deadline {
                 let database: &CompactString = &record.database;
                 log::warn!("{database}: the term could not be written before the deadline");
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -11,12 +11,13 @@
 //! asked it.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use event_listener::Event;
 use fulmarrill_ownership::rank_hosts;
+use fulmarrill_position::DatabaseName;
 use fulmarrill_runtime::before;
 use serde::{Deserialize, Serialize};
 use smol::Timer;
@@ -261,20 +262,29 @@
 /// The hosts of the own data centre that stand before this one in line.
 fn hosts_before(context: &SharedContext, view: &TrafficView) -> Vec<CompactString> {
     let place = &context.place;
-    let near = view
-        .hosts
-        .values()
-        .filter(|host| host.data_centre == place.data_centre);
     let mut hosts = Vec::new();
-    for name in rank_hosts(LINE_KEY, near.map(|host| host.name.as_str())) {
-        if name == place.host {
+    for host in line_of(view, &place.data_centre) {
+        if host.name == place.host {
             break;
         }
-        hosts.extend(view.hosts.get(name).map(|host| host.address.clone()));
+        hosts.push(host.address.clone());
     }
     hosts
 }
 
+/// The hosts of a data centre in the order in which they watch the store.
+fn line_of<'a>(view: &'a TrafficView, data_centre: &str) -> Vec<&'a HostEntry> {
+    let near = view
+        .hosts
+        .values()
+        .filter(|host| host.data_centre == data_centre);
+    let mut line = Vec::new();
+    for name in rank_hosts(LINE_KEY, near.map(|host| host.name.as_str())) {
+        line.extend(view.hosts.get(name));
+    }
+    line
+}
+
 /// Those of the hosts before one that it tries to follow; `drawn` is a random
 /// number.
 #[must_use]
@@ -367,6 +377,63 @@
     false
 }
 
+/// Says to the hosts at the head of each line that this one has written a term:
+/// the store may be closed to them, and all others follow them.
+pub async fn tell_heads(context: SharedContext, database: DatabaseName, version: ObjectVersion) {
+    let view = wait_for_term(&context, &database, version).await;
+    let mut data_centres: Vec<&str> = Vec::new();
+    data_centres.extend(view.hosts.values().map(|host| host.data_centre.as_str()));
+    data_centres.sort_unstable();
+    data_centres.dedup();
+    for data_centre in data_centres {
+        for host in line_of(&view, data_centre).into_iter().take(LEADERS_MAX) {
+            if host.name == context.place.host || context.peers.is_avoided(&host.address) {
+                continue;
+            }
+            let (context, address) = (context.clone(), host.address.clone());
+            fulmarrill_runtime::spawn(async move {
+                let deadline = Instant::now() + FOLLOW_SLACK;
+                let call = ProxyCall::TermWritten;
+                if let Err(error) = context.peers.call(&address, call, deadline).await {
+                    log::info!("{address}: not told of a term: {error}");
+                }
+            })
+            .detach();
+        }
+    }
+}
+
+/// The view once it has a version of a term, or the one some time later.
+async fn wait_for_term(
+    context: &SharedContext,
+    database: &str,
+    version: ObjectVersion,
+) -> Arc<TrafficView> {
+    let deadline = Instant::now() + FOLLOW_SLACK;
+    loop {
+        let listener = context.view.listen();
+        let view = context.view.load();
+        let held = view.terms.get(database);
+        if held.is_some_and(|held| held.version >= version) || Instant::now() >= deadline {
+            return view;
+        }
+        context.view.wait(listener, deadline).await;
+    }
+}
+
+/// Asks the host at `address` for terms and nothing else: by their versions an
+/// older record never replaces a newer one, whatever that host knows of the rest.
+pub async fn ask_terms(context: &SharedContext, control: &ControlSender, address: &str) {
+    let digests = context.view.load().digests;
+    let Some((asked_at, mut knowledge)) = ask_host(context, address, Duration::ZERO).await else {
+        return;
+    };
+    knowledge.hosts = None;
+    knowledge.instances = None;
+    knowledge.endpoints = None;
+    tell_knowledge(control, *knowledge, asked_at, digests);
+}
+
 /// Asks one host. Says whether what it knows is current; of what is not, only a
 /// host that knows nothing makes use.
 async fn ask(
@@ -376,26 +443,46 @@
     wait: Duration,
 ) -> bool {
     let view = context.view.load();
-    let held = view.endpoints.as_ref();
+    let Some((asked_at, knowledge)) = ask_host(context, address, wait).await else {
+        return false;
+    };
+    let is_current = knowledge.is_current;
+    if !is_current && view.endpoints.is_some() {
+        return false;
+    }
+    tell_knowledge(control, *knowledge, asked_at, view.digests);
+    is_current
+}
+
+/// What another host knows more than this one, and when it was asked.
+async fn ask_host(
+    context: &SharedContext,
+    address: &str,
+    wait: Duration,
+) -> Option<(BootTime, Box<HostKnowledge>)> {
+    let view = context.view.load();
     let question = LearnQuestion {
-        version: held.map_or(0, |table| table.version),
+        version: view.endpoints.as_ref().map_or(0, |table| table.version),
         digests: view.digests,
         wait_ms: u64::try_from(wait.as_millis()).unwrap_or_default(),
     };
     let asked_at = BootTime::now();
     let deadline = Instant::now() + wait + FOLLOW_SLACK;
     let call = ProxyCall::Learn(question);
-    let reply = context.peers.call(address, call, deadline).await;
-    let Ok(ProxyReply::Knowledge(knowledge)) = reply else {
-        return false;
-    };
-    let is_current = knowledge.is_current;
-    if !is_current && held.is_some() {
-        return false;
+    match context.peers.call(address, call, deadline).await {
+        Ok(ProxyReply::Knowledge(knowledge)) => Some((asked_at, knowledge)),
+        Ok(_) | Err(_) => None,
     }
-    for event in knowledge.into_events(asked_at, view.digests) {
+}
+
+fn tell_knowledge(
+    control: &ControlSender,
+    knowledge: HostKnowledge,
+    asked_at: BootTime,
+    digests: ViewDigests,
+) {
+    for event in knowledge.into_events(asked_at, digests) {
         // Fails only while the process ends.
         control.send(ControlMessage::Event(event)).ok();
     }
-    is_current
 }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -18,7 +18,7 @@
 use crate::entry::session::serve_caller;
 use crate::peers::{LINK_TIMING, ProxyCall, ProxyProtocol, ProxyReply};
 use crate::records::{WitnessNote, run_copies};
-use crate::relay::{answer_question, run_relay};
+use crate::relay::{answer_question, ask_terms, run_relay};
 
 /// Time between two rounds of upkeep; idle transactions end that much late.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
@@ -85,7 +85,9 @@
             }
             Err(RecvTimeoutError::Timeout) => {
                 if state.expire(Instant::now()) {
-                    context.view.publish(state.view());
+                    let view = state.view();
+                    context.owners.apply_view(&view);
+                    context.view.publish(view);
                 }
             }
             Err(RecvTimeoutError::Disconnected) => return,
@@ -195,7 +197,28 @@
         ProxyCall::Learn(question) => {
             ProxyReply::Knowledge(Box::new(answer_question(context, question).await))
         }
+        ProxyCall::TermWritten => {
+            let address = context
+                .view
+                .load()
+                .hosts
+                .get(from)
+                .map(|host| host.address.clone());
+            if let Some(address) = address {
+                let (context, control) = (context.clone(), control.clone());
+                let asking = async move { ask_terms(&context, &control, &address).await };
+                fulmarrill_runtime::spawn(asking).detach();
+            }
+            ProxyReply::Noted
+        }
         ProxyCall::Reach(instance) => ProxyReply::Reaches(context.owners.reaches(&instance).await),
+        ProxyCall::HandChange { database, version } => {
+            log::info!("{database}: {from} hands its turn to change the primary on");
+            let event = ControlEvent::Handed { database, version };
+            // Fails only while the process ends.
+            control.send(ControlMessage::Event(event)).ok();
+            ProxyReply::Handed
+        }
         ProxyCall::Release {
             database,
             term,
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -1,16 +1,18 @@
 //! Control as plain data: holders, leases and reasons to change a primary.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use fulmarrill_proxy::catalogue::{
     DatabaseLimits, EndpointTable, HostEntry, InstanceEntry, TermRecord,
 };
+use fulmarrill_proxy::change::witnesses_of;
 use fulmarrill_proxy::clock::BootTime;
 use fulmarrill_proxy::codec::DatabaseRole;
 use fulmarrill_proxy::control::{
     ChangeReason, ControlAction, ControlEvent, ControlState, LEASE_TIME,
 };
+use rstest::rstest;
 
 const OWN_RUN: &str = "h1~1";
 
@@ -213,6 +215,84 @@
     assert_eq!(state.plan(later), []);
 }
 
+/// Control hears something of other hosts many times a second, so it must not
+/// leave what lapsed to a moment without news.
+#[test]
+fn lapsed_replica_is_forgotten_also_while_news_come() {
+    let now = Instant::now();
+    let (mut state, _) = with_term(now, record(&[OWN_RUN]));
+    state.handle(now, ControlEvent::Instances(vec![both().remove(0)]));
+    assert!(state.view().instances.contains_key("b"));
+    let later = now + Duration::from_secs(3);
+    state.handle(later, ControlEvent::Down(BTreeSet::new()));
+    assert!(!state.view().instances.contains_key("b"));
+}
+
+#[test]
+fn change_that_was_handed_on_is_planned_at_once_and_only_once() {
+    let now = Instant::now();
+    let (mut state, _) = with_term(now, record(&[OWN_RUN]));
+    let database = || "orders".into();
+    let version = 5;
+    state.handle(
+        now,
+        ControlEvent::Handed {
+            database: database(),
+            version,
+        },
+    );
+    let expected = ControlAction::ChangePrimary {
+        database: database(),
+        version,
+        reason: ChangeReason::Handed,
+    };
+    assert_eq!(state.plan(now), [expected]);
+    assert_eq!(state.plan(now), []);
+}
+
+/// The reason of an earlier term says nothing of the primary that leads now, and
+/// a change that somebody has begun needs no second one.
+#[rstest]
+#[case::of_an_earlier_version(4, None)]
+#[case::begun_already(5, Some("h2~1"))]
+fn change_that_was_handed_on_too_late_is_not_planned(
+    #[case] version: u64,
+    #[case] changed_by: Option<&str>,
+) {
+    let now = Instant::now();
+    let mut held = record(&[OWN_RUN]);
+    held.changed_by = changed_by.map(Into::into);
+    let (mut state, _) = with_term(now, held);
+    state.handle(
+        now,
+        ControlEvent::Hosts(vec![host("h1", OWN_RUN), host("h2", "h2~1")]),
+    );
+    let database = "orders".into();
+    state.handle(now, ControlEvent::Handed { database, version });
+    assert_eq!(state.plan(now), []);
+}
+
+#[test]
+fn hosts_asked_before_a_change_stay_few_and_come_from_each_data_centre() {
+    let now = Instant::now();
+    let (mut state, _) = with_term(now, record(&[OWN_RUN]));
+    let mut hosts = Vec::new();
+    for index in 0..100 {
+        let mut other = host(&format!("n{index}"), &format!("n{index}~1"));
+        other.data_centre = format!("centre-{}", index % 4).into();
+        hosts.push(other);
+    }
+    state.handle(now, ControlEvent::Hosts(hosts));
+    let view = state.view();
+    let mut asked = BTreeMap::new();
+    for witness in witnesses_of(&view, "a") {
+        *asked.entry(witness.data_centre.clone()).or_insert(0) += 1;
+    }
+    // Ten of each, and this host alone in its own data centre.
+    let counts: Vec<i32> = asked.values().copied().collect();
+    assert_eq!(counts, [10, 10, 10, 10, 1]);
+}
+
 #[test]
 fn change_of_a_run_that_ended_is_taken_over() {
     let now = Instant::now();
--- a/crates/proxy/tests/health.rs
+++ b/crates/proxy/tests/health.rs
@@ -12,6 +12,11 @@
 use fulmarrill_proxy::owner::sight::PrimarySight;
 
 const STEP: Duration = Duration::from_millis(400);
+/// Puts moments of the monitor's own clock apart.
+const TICK: Duration = Duration::from_millis(2);
+/// Beyond the silence after which an instance is probed, below that after which
+/// it counts as stalled.
+const SILENCE: Duration = Duration::from_millis(300);
 
 #[test]
 fn one_failure_is_not_enough() {
@@ -110,6 +115,31 @@
     assert!(!monitor.is_stalled(now + 10 * STEP));
 }
 
+/// What haskell-signs inc-da0c showed: every slot of the primary was taken when
+/// it went dark, and one of them had been answered after all others were sent.
+#[test]
+fn instance_is_probed_though_it_answered_after_the_oldest_command() {
+    let monitor = InstanceMonitor::new();
+    let _oldest = monitor.note_sent();
+    std::thread::sleep(TICK);
+    monitor.note_heard();
+    let now = Instant::now();
+    assert!(!monitor.begin_probe(now));
+    assert!(monitor.begin_probe(now + STEP));
+}
+
+/// A command that hangs must not hide that those sent later are unanswered too.
+#[test]
+fn instance_is_probed_for_a_command_sent_after_its_last_answer() {
+    let monitor = InstanceMonitor::new();
+    let _oldest = monitor.note_sent();
+    std::thread::sleep(TICK);
+    monitor.note_heard();
+    std::thread::sleep(TICK);
+    let _newest = monitor.note_sent();
+    assert!(monitor.begin_probe(Instant::now() + SILENCE));
+}
+
 #[test]
 fn silent_instance_is_probed_by_one_task_at_a_time() {
     let monitor = InstanceMonitor::new();
