Hosts that leave stay listed until they have finished; vanished ones are removed

Cause: a host took itself off the list as soon as it was told to leave. Entries of other hosts then could not find the owner of their open transactions and told callers that these were rolled back, though the owner has half of its grace time for them. Joining hosts dropped its run from the holders of terms while it still used the primary, so that a change would not have asked it.

Ruled out: keeping dropped runs among the holders for the time of a lease: a change within that time would wait for a host that nobody can ask.

Change: an entry says whether its host takes new work. A run that sees itself marked or missing gives up what it holds and lists itself again, so that who is not listed holds nothing.

Conclusion: a fault of service and a narrow one of safety, found by reading.

--- a/crates/proxy/src/catalogue.rs
+++ b/crates/proxy/src/catalogue.rs
@@ -101,6 +101,10 @@
     pub data_centre: CompactString,
     /// Region.
     pub region: CompactString,
+    /// Whether it takes no new work: it was told to leave, or nobody has reached
+    /// it for long.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// Who may use which primary, as agreed in the store.
--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -448,5 +448,5 @@
 /// The host of a run, by the name that the run was made from.
 fn host_of<'a>(view: &'a TrafficView, run: &str) -> Option<&'a HostEntry> {
     let (name, _) = run.rsplit_once('~')?;
-    view.hosts.get(name)
+    view.host(name)
 }
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -126,6 +126,7 @@
             "watches_store": self.store.is_wanted(),
             "store_overdue": self.store.is_overdue(Instant::now()),
             "hosts": &*view.hosts,
+            "leaving": &*view.leaving,
             "instances": &*view.instances,
             "terms": terms,
             "sessions": self.entry.session_count(),
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -90,9 +90,23 @@
     },
 }
 
+/// How the store lists a run of a host, as its own control knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum OwnListing {
+    /// No list with it was read yet.
+    #[default]
+    Unknown,
+    /// It is listed.
+    Listed,
+    /// It was listed, and others have dropped it or are about to.
+    Dropped,
+}
+
 /// Something that control wants done.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ControlAction {
+    /// Lists this host in the store once more.
+    Announce,
     /// Writes a term record if it still has this version, zero for none.
     WriteTerm {
         /// The record.
@@ -136,6 +150,9 @@
     endpoints: Option<Arc<EndpointTable>>,
     instances: Arc<BTreeMap<InstanceId, InstanceEntry>>,
     hosts: Arc<BTreeMap<HostName, HostEntry>>,
+    leaving_hosts: Arc<BTreeMap<HostName, HostEntry>>,
+    /// How the store lists this run.
+    listing: OwnListing,
     terms: BTreeMap<DatabaseName, TermView>,
     leads: BTreeMap<InstanceId, Term>,
     terms_as_of: Option<BootTime>,
@@ -166,6 +183,8 @@
             endpoints: None,
             instances: Arc::default(),
             hosts: Arc::new(hosts),
+            leaving_hosts: Arc::default(),
+            listing: OwnListing::default(),
             terms: BTreeMap::new(),
             leads: BTreeMap::new(),
             terms_as_of: None,
@@ -190,6 +209,7 @@
             endpoints: self.endpoints.clone(),
             instances: self.instances.clone(),
             hosts: self.hosts.clone(),
+            leaving: self.leaving_hosts.clone(),
             terms: Arc::new(self.terms.clone()),
             terms_as_of: self.terms_as_of,
             listed: self.listed.clone(),
@@ -213,20 +233,7 @@
                 }
             }
             ControlEvent::Instances(list) => self.take_instances(now, list),
-            ControlEvent::Hosts(list) => {
-                self.hosts_read = true;
-                self.digests.hosts = digest_of(&list);
-                self.listed_hosts = Arc::new(list.clone());
-                let mut hosts = BTreeMap::new();
-                for entry in list {
-                    hosts.insert(entry.name.clone(), entry);
-                }
-                hosts.insert(self.own.name.clone(), self.own.clone());
-                if self.leaving {
-                    hosts.remove(&self.own.name);
-                }
-                self.hosts = Arc::new(hosts);
-            }
+            ControlEvent::Hosts(list) => self.take_hosts(list),
             ControlEvent::Down(down) => self.down = down,
             ControlEvent::Handed { database, version } => {
                 self.handed.insert(database, version);
@@ -288,6 +295,47 @@
         self.instances = Arc::new(instances);
     }
 
+    /// Takes a list of hosts over.
+    fn take_hosts(&mut self, list: Vec<HostEntry>) {
+        self.hosts_read = true;
+        self.digests.hosts = digest_of(&list);
+        self.listed_hosts = Arc::new(list.clone());
+        self.note_listing(&list);
+        let (mut hosts, mut leaving) = (BTreeMap::new(), BTreeMap::new());
+        for entry in list {
+            let map = if entry.leaving {
+                &mut leaving
+            } else {
+                &mut hosts
+            };
+            map.insert(entry.name.clone(), entry);
+        }
+        if !self.leaving {
+            leaving.remove(&self.own.name);
+            hosts.insert(self.own.name.clone(), self.own.clone());
+        }
+        self.hosts = Arc::new(hosts);
+        self.leaving_hosts = Arc::new(leaving);
+    }
+
+    /// Notes how this run is listed. One that others have taken off the list, or
+    /// are about to, gives up what it holds before they can count on that.
+    fn note_listing(&mut self, list: &[HostEntry]) {
+        let own = list.iter().find(|entry| entry.run == self.own.run);
+        self.listing = match own {
+            Some(entry) if entry.leaving && !self.leaving => OwnListing::Dropped,
+            Some(_) => OwnListing::Listed,
+            None if self.listing == OwnListing::Unknown => OwnListing::Unknown,
+            None => OwnListing::Dropped,
+        };
+        for term in self.terms.values_mut() {
+            let released = self.released.get(&term.record.database);
+            term.is_holder = self.listing != OwnListing::Dropped
+                && term.record.holders.contains(&self.own.run)
+                && released.is_none_or(|released| term.record.term > *released);
+        }
+    }
+
     fn digest_terms(&self) -> u64 {
         let terms: Vec<_> = self
             .terms
@@ -333,7 +381,9 @@
         {
             return;
         }
-        let is_holder = record.holders.contains(&self.own.run) && !self.has_released(&record);
+        let is_holder = self.listing != OwnListing::Dropped
+            && record.holders.contains(&self.own.run)
+            && !self.has_released(&record);
         let mut lease_until = as_of.after(LEASE_TIME);
         if let Some(held) = self.terms.get(&record.database)
             && held.version == version
@@ -397,6 +447,10 @@
         if !self.terms_read || !self.hosts_read || self.leaving {
             return actions;
         }
+        if self.listing == OwnListing::Dropped {
+            actions.push(ControlAction::Announce);
+            return actions;
+        }
         let view = self.view();
         for database in table.databases.keys() {
             match self.terms.get(database).cloned() {
@@ -423,7 +477,8 @@
         let place = u32::try_from(self.place_for(&record.database)).unwrap_or(u32::MAX);
         let turn = TURN_TIME * place.min(TURNS_MAX);
         if let Some(run) = &record.changed_by {
-            let lives = self.hosts.values().any(|host| host.run == *run);
+            let mut listed = self.hosts.values().chain(self.leaving_hosts.values());
+            let lives = listed.any(|host| host.run == *run);
             let patience = if lives { CHANGE_TIME } else { Duration::ZERO };
             return Some((ChangeReason::Abandoned, patience + turn));
         }
@@ -529,7 +584,8 @@
             return;
         }
         let mut record = term.record.clone();
-        let live: Vec<_> = self.hosts.values().map(|host| &host.run).collect();
+        let listed = self.hosts.values().chain(self.leaving_hosts.values());
+        let live: Vec<_> = listed.map(|host| &host.run).collect();
         record.holders.retain(|run| live.contains(&run));
         record.holders.push(self.own.run.clone());
         let if_version = term.version;
--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -555,7 +555,7 @@
 /// Sends a further statement of an open transaction to where it is.
 async fn continue_work(context: &SharedContext, owner: &str, request: WorkRequest) -> WorkAnswer {
     let view = context.view.load();
-    let Some(host) = view.hosts.get(owner) else {
+    let Some(host) = view.host(owner) else {
         return WorkAnswer::NotRun(NotRunReason::TransactionLost);
     };
     send_to_host(context, owner, &host.address, request).await
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod codec;
 pub mod context;
 pub mod control;
+pub mod departures;
 pub mod entry;
 pub mod owner;
 pub mod peers;
--- a/crates/proxy/src/peers/pool.rs
+++ b/crates/proxy/src/peers/pool.rs
@@ -88,6 +88,15 @@
         result
     }
 
+    /// Sets up a link to the host at `address` if there is none.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be set up before `deadline`.
+    pub async fn reach(&self, address: &str, deadline: Instant) -> Result<(), LinkError> {
+        self.link(address, deadline).await.map(|_| ())
+    }
+
     /// Passes a host over until it is reached again.
     fn note_unreachable(self: &Arc<Self>, address: &str, error: &LinkError) {
         if !self.avoided().insert(address.into()) {
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -179,13 +179,13 @@
             let note = WitnessNote::new(&request);
             let answer = context.owners.run(from, *request).await;
             // A host that is not listed yet keeps its records alone.
-            if let Some(host) = context.view.load().hosts.get(from) {
+            if let Some(host) = context.view.load().host(from) {
                 context.records.witness(host, Instant::now(), note, &answer);
             }
             ProxyReply::Work(answer)
         }
         ProxyCall::Copy(records) => {
-            if let Some(host) = context.view.load().hosts.get(from) {
+            if let Some(host) = context.view.load().host(from) {
                 context.records.hold_copies(host, Instant::now(), records);
             }
             ProxyReply::Copied
@@ -201,8 +201,7 @@
             let address = context
                 .view
                 .load()
-                .hosts
-                .get(from)
+                .host(from)
                 .map(|host| host.address.clone());
             if let Some(address) = address {
                 let (context, control) = (context.clone(), control.clone());
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -64,8 +64,10 @@
     pub endpoints: Option<Arc<EndpointTable>>,
     /// Instances by identity.
     pub instances: Arc<BTreeMap<InstanceId, InstanceEntry>>,
-    /// Hosts by name.
+    /// Hosts that take new work, by name.
     pub hosts: Arc<BTreeMap<HostName, HostEntry>>,
+    /// Hosts that are leaving, by name; they finish what they have begun.
+    pub leaving: Arc<BTreeMap<HostName, HostEntry>>,
     /// Terms by database.
     pub terms: Arc<BTreeMap<DatabaseName, TermView>>,
     /// Moment as of which the terms stood in the store.
@@ -79,6 +81,12 @@
 }
 
 impl TrafficView {
+    /// A host by its name, whether it is leaving or not.
+    #[must_use]
+    pub fn host(&self, name: &str) -> Option<&HostEntry> {
+        self.hosts.get(name).or_else(|| self.leaving.get(name))
+    }
+
     /// The instances of a database that take new work.
     pub fn members<'a>(&'a self, database: &'a str) -> impl Iterator<Item = &'a InstanceEntry> {
         self.instances
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -23,6 +23,7 @@
         address: "127.0.0.1:1".into(),
         data_centre: "north-1".into(),
         region: "north".into(),
+        leaving: false,
     }
 }
 
@@ -161,6 +162,47 @@
     assert_eq!(state.plan(now), []);
 }
 
+/// A host that leaves still uses the primary for what it has begun.
+#[test]
+fn leaving_host_takes_no_new_work_and_stays_a_holder() {
+    let now = Instant::now();
+    let (mut state, _) = with_term(now, record(&["h2~1"]));
+    let leaving = HostEntry {
+        leaving: true,
+        ..host("h2", "h2~1")
+    };
+    state.handle(now, ControlEvent::Hosts(vec![host("h1", OWN_RUN), leaving]));
+    let view = state.view();
+    assert!(!view.hosts.contains_key("h2"));
+    assert_eq!(view.host("h2").unwrap().run, "h2~1");
+    let joined = ControlAction::WriteTerm {
+        record: record(&["h2~1", OWN_RUN]),
+        if_version: 5,
+    };
+    assert_eq!(state.plan(now), [joined]);
+}
+
+/// Others drop a run that is not listed from the holders, so it must not use
+/// the primary from the moment on at which it learns that.
+#[rstest]
+#[case::taken_off(None)]
+#[case::about_to_be_taken_off(Some(true))]
+fn run_that_others_drop_gives_up_what_it_holds(#[case] marked: Option<bool>) {
+    let now = Instant::now();
+    let (mut state, as_of) = with_term(now, record(&[OWN_RUN]));
+    assert!(state.view().terms["orders"].may_use(3, as_of));
+    let mut list = vec![host("h2", "h2~1")];
+    list.extend(marked.map(|leaving| HostEntry {
+        leaving,
+        ..host("h1", OWN_RUN)
+    }));
+    state.handle(now, ControlEvent::Hosts(list));
+    assert!(!state.view().terms["orders"].may_use(3, as_of));
+    assert_eq!(state.plan(now), [ControlAction::Announce]);
+    state.handle(now, ControlEvent::Hosts(vec![host("h1", OWN_RUN)]));
+    assert!(state.view().terms["orders"].may_use(3, as_of));
+}
+
 #[test]
 fn another_run_of_the_host_holds_nothing_of_this_one() {
     let now = Instant::now();
--- a/crates/proxy/tests/leases.rs
+++ b/crates/proxy/tests/leases.rs
@@ -78,6 +78,7 @@
         address: "127.0.0.1:1".into(),
         data_centre: "north-1".into(),
         region: "north".into(),
+        leaving: false,
     }
 }
 
--- a/crates/proxy/tests/records.rs
+++ b/crates/proxy/tests/records.rs
@@ -19,6 +19,7 @@
         address: "127.0.0.1:1".into(),
         data_centre: "kosice-a".into(),
         region: "vychod".into(),
+        leaving: false,
     }
 }
 
