--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -6,6 +6,7 @@
 mod failures;
 mod processes;
 mod records;
+mod settings_file;
 mod soak;
 mod traces;
 mod util;
