--- a/crates/proxy/src/catalogue.rs
+++ b/crates/proxy/src/catalogue.rs
@@ -67,6 +67,19 @@
     pub transaction_idle_time: Duration,
 }
 
+impl EndpointTable {
+    /// The same endpoints without any policy: all reads at the primary, all work
+    /// of one rank. What the product is measured against.
+    #[must_use]
+    pub fn into_baseline(mut self) -> Self {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.freshness = ReadFreshness::Latest;
+            endpoint.rank = 0;
+        }
+        self
+    }
+}
+
 /// One instance, as it describes itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceEntry {
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use fulmarrill_proxy::catalogue::{
-    DatabaseLimits, EndpointTable, HostEntry, InstanceEntry, TermRecord,
+    DatabaseLimits, EndpointEntry, EndpointTable, HostEntry, InstanceEntry, ReadFreshness,
+    TermRecord,
 };
 use fulmarrill_proxy::change::witnesses_of;
 use fulmarrill_proxy::clock::BootTime;
@@ -359,6 +360,30 @@
     assert_eq!(state.plan(now), []);
 }
 
+/// What the product is measured against has no policy left.
+#[test]
+fn baseline_reads_at_the_primary_and_knows_one_rank() {
+    let endpoint = EndpointEntry {
+        name: "reports".into(),
+        database: "orders".into(),
+        freshness: ReadFreshness::Aged(Duration::from_secs(2)),
+        statement_time: Duration::from_secs(1),
+        rank: 2,
+    };
+    let table = EndpointTable {
+        version: 7,
+        endpoints: BTreeMap::from([("reports".into(), endpoint.clone())]),
+        databases: BTreeMap::new(),
+        transaction_idle_time: Duration::from_secs(3),
+    };
+    let expected = EndpointEntry {
+        freshness: ReadFreshness::Latest,
+        rank: 0,
+        ..endpoint
+    };
+    assert_eq!(table.into_baseline().endpoints["reports"], expected);
+}
+
 #[test]
 fn configuration_never_goes_back() {
     let now = Instant::now();
