--- a/crates/schedule/tests/foresight.rs
+++ b/crates/schedule/tests/foresight.rs
@@ -131,7 +131,7 @@
         let (count, time) = works.fold((0, 0), |(n, t), a| (n + 1, t + a.cost_ms));
         density[rank] = kind.worth * real(count) / real(time);
     }
-    let mut ranks = vec![0, 1, 2];
+    let mut ranks = [0, 1, 2];
     ranks.sort_by(|a, b| density[*b].total_cmp(&density[*a]));
     let (mut earned, mut before) = (0.0, 0.0);
     for count in 1..=ranks.len() {
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -68,7 +68,8 @@
             seconds,
             hosts,
             callers,
-        } => soak::run(seed, seeds, &|options| {
+            page,
+        } => soak::run(seed, seeds, page.as_deref(), &|options| {
             options
                 .with_time(Duration::from_secs(seconds))
                 .with_size(hosts, callers)
--- a/src/commands/soak.rs
+++ b/src/commands/soak.rs
@@ -1,6 +1,8 @@
 //! `soak`: random faults around hosts that run as processes.
 
-use fulmarrill_soak::{SoakOptions, SoakReport, run_soak};
+use std::path::Path;
+
+use fulmarrill_soak::{SoakOptions, SoakReport, render_page, run_soak};
 
 use crate::error::CommandError;
 use crate::logging;
@@ -14,6 +16,7 @@
 pub fn run(
     seed: Option<u64>,
     seeds: u64,
+    page: Option<&Path>,
     sized: &dyn Fn(SoakOptions) -> SoakOptions,
 ) -> Result<(), CommandError> {
     logging::start("warn", logging::LogTarget::Error);
@@ -24,6 +27,9 @@
         let options = sized(SoakOptions::new(&program, seed));
         let report = smol::block_on(run_soak(&options))?;
         show(&report);
+        if let Some(page) = page {
+            std::fs::write(page, render_page(&report)?)?;
+        }
         if !report.faults.is_empty() {
             failed.push(seed);
         }
--- a/src/error.rs
+++ b/src/error.rs
@@ -63,6 +63,9 @@
     /// A soak cannot be run.
     #[error(transparent)]
     Soak(#[from] fulmarrill_soak::SoakError),
+    /// A page cannot be drawn.
+    #[error(transparent)]
+    Plot(#[from] fulmarrill_plots::PlotError),
     /// A host cannot start.
     #[error(transparent)]
     Host(#[from] HostError),
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -91,6 +91,8 @@
         hosts: usize,
         /// Callers.
         callers: usize,
+        /// File for a page with plots of the last seed.
+        page: Option<PathBuf>,
     },
     /// Starts everything on loopback and fails a primary under load.
     Demo {
@@ -288,7 +290,11 @@
         .argument("N")
         .fallback(5);
     let callers = long("callers").help("Callers").argument("N").fallback(24);
-    construct!(Command::Soak { seed, seeds, seconds, hosts, callers })
+    let page = long("page")
+        .help("Write a page with plots of the last seed to this file")
+        .argument("FILE")
+        .optional();
+    construct!(Command::Soak { seed, seeds, seconds, hosts, callers, page })
         .to_options()
         .descr("Kills, pauses, cuts and slows around hosts that run as processes, and checks what callers were told")
         .footer("Example: fulmarrill soak --seed 7 --seconds 30\nExit code 2 if a promise was broken; settings and logs of the hosts stay in a folder that is named.")
