Split control into knowledge and plans; one state for the sight of the store

Change: control/plan.rs holds what is planned and why; StoreVoice names the four cases; the relay waits for the view that has hosts; read_records reads the journals once for any customers.

Ruled out: one flag less by taking "never asked" for "answers": hosts that start while the store is away would ask it four times as often.

--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -10,8 +10,7 @@
 //! Leases may be passed on: they count from a question to the store, whoever
 //! asked it.
 
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
@@ -35,8 +34,9 @@
 const OVERDUE_TIME: Duration = Duration::from_millis(3100);
 /// Time that a host which has just started gives the store for its first answer.
 const START_TIME: Duration = Duration::from_millis(600);
-/// Time for control to take over what was just heard.
-const TAKE_OVER_TIME: Duration = Duration::from_millis(20);
+/// Longest time for control to take over what was just heard; it needs less than
+/// one on an idle machine.
+const TAKE_OVER_TIME: Duration = Duration::from_millis(100);
 /// Time between two rounds of a host that watches by itself.
 const ROUND_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two rounds of a host that waits for one before it.
@@ -159,13 +159,30 @@
     }
 }
 
+/// What the store's answers say of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StoreVoice {
+    /// It was not asked yet.
+    Unheard,
+    /// It has never answered.
+    NeverAnswered,
+    /// It answered the last call.
+    Answers,
+    /// It has answered, and the last call failed.
+    Fails,
+}
+
+#[derive(Debug)]
+struct SightState {
+    overdue_at: Instant,
+    voice: StoreVoice,
+    wanted: bool,
+}
+
 /// When the store was heard of last, and whether this host should watch it.
 #[derive(Debug)]
 pub struct StoreSight {
-    overdue_at: Mutex<Instant>,
-    heard: AtomicBool,
-    answers: AtomicBool,
-    wanted: AtomicBool,
+    state: Mutex<SightState>,
     changed: Event,
 }
 
@@ -174,19 +191,24 @@
     #[must_use]
     pub fn new(now: Instant) -> Self {
         Self {
-            overdue_at: Mutex::new(now + START_TIME),
-            heard: AtomicBool::new(false),
-            answers: AtomicBool::new(true),
-            wanted: AtomicBool::new(false),
+            state: Mutex::new(SightState {
+                overdue_at: now + START_TIME,
+                voice: StoreVoice::Unheard,
+                wanted: false,
+            }),
             changed: Event::new(),
         }
     }
 
-    /// Returns once the store has answered for the first time.
-    async fn heard(&self) {
+    fn state(&self) -> MutexGuard<'_, SightState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns once something holds.
+    async fn until(&self, holds: impl Fn(&SightState) -> bool) {
         loop {
             let listener = self.changed.listen();
-            if self.heard.load(Ordering::SeqCst) {
+            if holds(&self.state()) {
                 return;
             }
             listener.await;
@@ -195,68 +217,62 @@
 
     /// Notes an answer of the watch over terms.
     pub fn note_answer(&self, now: Instant) {
-        let mut overdue_at = self
-            .overdue_at
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        *overdue_at = now + OVERDUE_TIME;
-        drop(overdue_at);
-        let was_heard = self.heard.swap(true, Ordering::SeqCst);
-        let did_answer = self.answers.swap(true, Ordering::SeqCst);
-        if !was_heard || !did_answer {
+        let mut state = self.state();
+        state.overdue_at = now + OVERDUE_TIME;
+        let voice = std::mem::replace(&mut state.voice, StoreVoice::Answers);
+        drop(state);
+        if voice != StoreVoice::Answers {
             self.changed.notify(usize::MAX);
         }
     }
 
     /// Notes that the watch over terms failed.
     pub fn note_failure(&self) {
-        self.answers.store(false, Ordering::SeqCst);
+        let mut state = self.state();
+        state.voice = match state.voice {
+            StoreVoice::Unheard | StoreVoice::NeverAnswered => StoreVoice::NeverAnswered,
+            StoreVoice::Answers | StoreVoice::Fails => StoreVoice::Fails,
+        };
     }
 
-    /// Returns once the last call of the watch over terms was answered.
+    /// Returns once the store has answered for the first time.
+    async fn heard(&self) {
+        let has_answered = [StoreVoice::Answers, StoreVoice::Fails];
+        self.until(|state| has_answered.contains(&state.voice))
+            .await;
+    }
+
+    /// Returns unless the last call of the watch over terms failed, and then once
+    /// one is answered.
     pub async fn answering(&self) {
-        loop {
-            let listener = self.changed.listen();
-            if self.answers.load(Ordering::SeqCst) {
-                return;
-            }
-            listener.await;
-        }
+        let failed = [StoreVoice::NeverAnswered, StoreVoice::Fails];
+        self.until(|state| !failed.contains(&state.voice)).await;
+    }
+
+    /// Returns once this host should watch the store.
+    pub async fn wanted(&self) {
+        self.until(|state| state.wanted).await;
     }
 
     /// Whether the next answer is overdue.
     #[must_use]
     pub fn is_overdue(&self, now: Instant) -> bool {
-        let overdue_at = self
-            .overdue_at
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        now >= *overdue_at
+        now >= self.state().overdue_at
     }
 
     /// Whether this host should watch the store.
     #[must_use]
     pub fn is_wanted(&self) -> bool {
-        self.wanted.load(Ordering::SeqCst)
+        self.state().wanted
     }
 
     fn set_wanted(&self, wanted: bool) {
-        if self.wanted.swap(wanted, Ordering::SeqCst) != wanted {
+        let was_wanted = std::mem::replace(&mut self.state().wanted, wanted);
+        if was_wanted != wanted {
             log::info!("this host watches the store: {wanted}");
             self.changed.notify(usize::MAX);
         }
     }
-
-    /// Returns once this host should watch the store.
-    pub async fn wanted(&self) {
-        loop {
-            let listener = self.changed.listen();
-            if self.is_wanted() {
-                return;
-            }
-            listener.await;
-        }
-    }
 }
 
 /// The hosts of the own data centre that stand before this one in line.
@@ -321,16 +337,30 @@
     addresses
 }
 
+/// Waits until control has a list of hosts, or a deadline.
+async fn wait_for_hosts(context: &SharedContext, deadline: Instant) {
+    while Instant::now() < deadline {
+        let listener = context.view.listen();
+        if !context.view.load().listed_hosts.is_empty() {
+            return;
+        }
+        context.view.wait(listener, deadline).await;
+    }
+}
+
 /// Follows other hosts where there is one to follow, for as long as the task
 /// lives.
 pub async fn run_relay(context: SharedContext, control: ControlSender) {
-    // Who stands before this host is known from the first answer.
-    if before(Instant::now() + START_TIME, context.store.heard())
+    // Who stands before this host is known from the first answer, once control
+    // has taken it over.
+    let start = Instant::now();
+    let listed = async {
+        context.store.heard().await;
+        wait_for_hosts(&context, start + START_TIME + TAKE_OVER_TIME).await;
+    };
+    before(start + START_TIME + TAKE_OVER_TIME, listed)
         .await
-        .is_ok()
-    {
-        Timer::after(TAKE_OVER_TIME).await;
-    }
+        .ok();
     let mut alone_since = None;
     loop {
         let next_at = Instant::now() + FOLLOW_INTERVAL;
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -10,9 +10,8 @@
 use fulmarrill_proxy::change::witnesses_of;
 use fulmarrill_proxy::clock::BootTime;
 use fulmarrill_proxy::codec::DatabaseRole;
-use fulmarrill_proxy::control::{
-    ChangeReason, ControlAction, ControlEvent, ControlState, LEASE_TIME,
-};
+use fulmarrill_proxy::control::plan::{ChangeReason, ControlAction};
+use fulmarrill_proxy::control::{ControlEvent, ControlState, LEASE_TIME};
 use rstest::rstest;
 
 const OWN_RUN: &str = "h1~1";
--- a/src/commands/export.rs
+++ b/src/commands/export.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fulmarrill_objects::PlatformClient;
-use fulmarrill_platform::read_customer;
+use fulmarrill_platform::read_records;
 use fulmarrill_records::{RecordSegment, verify_segments};
 
 use crate::error::CommandError;
@@ -26,7 +26,7 @@
 /// Writes what the journals of all hosts have of a customer; faults are named
 /// behind it, so that one of them hides nothing.
 fn export_journals(address: &str, customer: &str) -> Result<(), CommandError> {
-    let record = smol::block_on(read_customer(address, customer))?;
+    let record = smol::block_on(read_records(address, |name| name == customer))?;
     let mut out = std::io::stdout().lock();
     for (run, request) in &record.requests {
         let line = serde_json::json!({
