Split the relay and the change of primary by job

relay: what hosts tell each other (knowledge), the order in which they watch (line), when the store was heard of (sight). change: whose turn it is (turn), who still reaches a primary (witness).

--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -10,18 +10,21 @@
 //! next one in line and goes on trying: whoever is first, one reservation stands.
 
 pub mod candidate;
+mod turn;
+pub mod witness;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use fulmarrill_link::LinkError;
-use fulmarrill_ownership::rank_hosts;
-use fulmarrill_position::{DatabaseName, LogPoint, Term};
+use fulmarrill_position::{LogPoint, Term};
 use futures_util::future::join_all;
 use smol::Timer;
 
-use crate::catalogue::{HostEntry, HostName, InstanceEntry, ObjectVersion, RunName, TermRecord};
+use crate::catalogue::{HostEntry, InstanceEntry, InstanceId, ObjectVersion, RunName, TermRecord};
 use crate::change::candidate::{ChangeCandidate, choose_candidate};
+use crate::change::turn::hand_change;
+use crate::change::witness::is_reached_by_others;
 use crate::clock::BootTime;
 use crate::codec::{DatabaseCommand, DatabaseRole, DatabaseStatus};
 use crate::context::SharedContext;
@@ -30,7 +33,7 @@
 use crate::peers::ProxyCall;
 use crate::peers::ProxyReply;
 use crate::port::{ControlPort, PromoteOrder, PromoteOutcome};
-use crate::relay::tell_heads;
+use crate::relay::line::tell_heads;
 use crate::server::{ControlMessage, ControlSender, release_term};
 use crate::view::TrafficView;
 
@@ -43,10 +46,6 @@
 const WRITE_TIME: Duration = Duration::from_secs(3);
 /// Time for one question to a host or an instance.
 const ASK_TIME: Duration = Duration::from_millis(500);
-/// Hosts of each data centre that are asked whether they reach a primary. Their
-/// number does not grow with the fleet; if half of a data centre's hosts reach
-/// it, all of these miss it once in a thousand times.
-const WITNESSES_MAX: usize = 10;
 /// Time between two rounds of questions.
 const ROUND_INTERVAL: Duration = Duration::from_millis(60);
 /// Time for a replica to receive what a primary that stepped down has.
@@ -123,83 +122,6 @@
     }
 }
 
-/// Hands the turn to change a primary to the first host behind this one in line
-/// that answers.
-async fn hand_change(context: SharedContext, database: DatabaseName, version: ObjectVersion) {
-    let view = context.view.load();
-    for host in hosts_behind(&view, &database, &context.place.host) {
-        if context.peers.is_avoided(&host.address) {
-            continue;
-        }
-        let call = ProxyCall::HandChange {
-            database: database.clone(),
-            version,
-        };
-        let deadline = Instant::now() + ASK_TIME;
-        let reply = context.peers.call(&host.address, call, deadline).await;
-        if matches!(reply, Ok(ProxyReply::Handed)) {
-            log::info!(
-                "{database}: the store is closed to this host, {} changes the primary",
-                host.name
-            );
-            return;
-        }
-    }
-    log::warn!("{database}: nobody takes the turn to change the primary over");
-}
-
-/// The hosts behind `own` in the line for a database, and then those before it.
-fn hosts_behind<'a>(view: &'a TrafficView, database: &str, own: &str) -> Vec<&'a HostEntry> {
-    let mut line = Vec::new();
-    for name in rank_hosts(database, view.hosts.keys().map(HostName::as_str)) {
-        line.extend(view.hosts.get(name));
-    }
-    if let Some(place) = line.iter().position(|host| host.name == own) {
-        line.rotate_left(place);
-        line.remove(0);
-    }
-    line
-}
-
-/// The hosts that are asked whether they reach an instance.
-#[must_use]
-pub fn witnesses_of<'a>(view: &'a TrafficView, instance: &str) -> Vec<&'a HostEntry> {
-    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-    let mut witnesses = Vec::new();
-    for name in rank_hosts(instance, view.hosts.keys().map(HostName::as_str)) {
-        let Some(host) = view.hosts.get(name) else {
-            continue;
-        };
-        let count = counts.entry(host.data_centre.as_str()).or_default();
-        if *count < WITNESSES_MAX {
-            *count += 1;
-            witnesses.push(host);
-        }
-    }
-    witnesses
-}
-
-/// Whether any other host reaches an instance.
-async fn is_reached_by_others(
-    context: &SharedContext,
-    view: &TrafficView,
-    instance: &crate::catalogue::InstanceId,
-) -> bool {
-    let mut asking = Vec::new();
-    for host in witnesses_of(view, instance) {
-        if host.name == context.place.host || context.peers.is_avoided(&host.address) {
-            continue;
-        }
-        let call = ProxyCall::Reach(instance.clone());
-        asking.push(async move {
-            let deadline = Instant::now() + ASK_TIME;
-            let reply = context.peers.call(&host.address, call, deadline).await;
-            matches!(reply, Ok(ProxyReply::Reaches(true)))
-        });
-    }
-    join_all(asking).await.contains(&true)
-}
-
 impl PrimaryChange<'_> {
     fn tell_record(&self) {
         let event = ControlEvent::Term {
@@ -219,7 +141,7 @@
         BootTime::now().since(self.begun_at) < CHANGE_LIMIT
     }
 
-    async fn run(&mut self) -> Option<crate::catalogue::InstanceId> {
+    async fn run(&mut self) -> Option<InstanceId> {
         let old_term = self.record.term;
         if let Some((primary, term)) = self.find_successor(old_term).await {
             // Whoever began this change had it done and did not publish it.
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -17,7 +17,7 @@
 use crate::owner::OwnerTable;
 use crate::peers::pool::PeerPool;
 use crate::records::RecordKeeper;
-use crate::relay::StoreSight;
+use crate::relay::sight::StoreSight;
 use crate::report::StatementLog;
 use crate::view::{TrafficView, ViewCell};
 
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -10,7 +10,7 @@
 use fulmarrill_records::JournalRecord;
 
 use crate::catalogue::{InstanceId, ObjectVersion, RunName};
-use crate::relay::{HostKnowledge, LearnQuestion};
+use crate::relay::knowledge::{HostKnowledge, LearnQuestion};
 use crate::work::{WorkAnswer, WorkRequest};
 
 /// A quiet link is probed each second, which costs little, and given up after
--- a/crates/proxy/src/peers/wire.rs
+++ b/crates/proxy/src/peers/wire.rs
@@ -16,7 +16,7 @@
 use crate::catalogue::{ObjectVersion, RunName};
 use crate::codec::ErrorKind;
 use crate::peers::{ProxyCall, ProxyReply};
-use crate::relay::{HostKnowledge, LearnQuestion};
+use crate::relay::knowledge::{HostKnowledge, LearnQuestion};
 use crate::statement::PreparedShape;
 use crate::work::{NotRunReason, PinId, WorkAnswer, WorkRequest, WorkStatement, WorkStep};
 
--- /dev/null
+++ b/crates/proxy/src/relay/knowledge.rs
@@ -0,0 +1,203 @@
+//! What one host tells another of the store.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::catalogue::{EndpointTable, HostEntry, InstanceEntry, VersionedTerm};
+use crate::clock::BootTime;
+use crate::context::SharedContext;
+use crate::control::ControlEvent;
+use crate::history::{ListChanges, ListEntry, ListHistory};
+use crate::peers::{ProxyCall, ProxyReply};
+use crate::server::{ControlMessage, ControlSender};
+use crate::view::{TrafficView, ViewDigests};
+
+/// Longest wait of a question for news. Leases are as much older.
+pub const FOLLOW_TIME: Duration = Duration::from_secs(1);
+/// Time beyond its wait within which a question must be answered.
+pub const FOLLOW_SLACK: Duration = Duration::from_millis(500);
+
+/// A question for news.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LearnQuestion {
+    /// Version of the configuration that the asking host has.
+    pub version: u64,
+    /// What else it has.
+    pub digests: ViewDigests,
+    /// How long the answer may wait for news, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// A list, or what makes it of the one that the asking host has.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum ListNews<T> {
+    /// The whole list.
+    Whole(Vec<T>),
+    /// The difference.
+    Changes(ListChanges<T>),
+}
+
+impl<T: ListEntry + Clone + PartialEq> ListNews<T> {
+    /// News for a host whose list has the digest `held`; none if it has them.
+    fn of(
+        held: u64,
+        own: u64,
+        history: &ListHistory<T>,
+        whole: impl FnOnce() -> Vec<T>,
+    ) -> Option<Self> {
+        if held == own {
+            return None;
+        }
+        let changes = history.since(held).map(Self::Changes);
+        Some(changes.unwrap_or_else(|| Self::Whole(whole())))
+    }
+
+    /// The list, for a host that has `list`.
+    fn into_list(self, list: &[T]) -> Vec<T> {
+        match self {
+            Self::Whole(list) => list,
+            Self::Changes(changes) => changes.apply(list),
+        }
+    }
+}
+
+/// What a host knows of the store, less what the asking host has.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct HostKnowledge {
+    /// Whether the store itself answers the host that says this.
+    pub is_current: bool,
+    /// Configuration.
+    pub endpoints: Option<EndpointTable>,
+    /// Instances.
+    pub instances: Option<ListNews<InstanceEntry>>,
+    /// Hosts.
+    pub hosts: Option<ListNews<HostEntry>>,
+    /// Terms with their versions.
+    pub terms: Option<ListNews<VersionedTerm>>,
+    /// Digest of all terms.
+    pub terms_digest: u64,
+    /// Time since the store was asked for the terms, when this was said.
+    pub terms_age: Option<Duration>,
+}
+
+impl HostKnowledge {
+    /// What this host knows.
+    fn of(context: &SharedContext, view: &TrafficView, question: &LearnQuestion) -> Self {
+        let (held, own) = (&question.digests, &view.digests);
+        let endpoints = view.endpoints.as_deref();
+        let history = &view.history;
+        let terms = || {
+            let terms = view.terms.values();
+            terms
+                .map(|term| (term.record.clone(), term.version))
+                .collect()
+        };
+        Self {
+            is_current: !context.store.is_overdue(Instant::now()),
+            endpoints: endpoints
+                .filter(|table| table.version > question.version)
+                .cloned(),
+            instances: ListNews::of(held.instances, own.instances, &history.instances, || {
+                view.listed.to_vec()
+            }),
+            hosts: ListNews::of(held.hosts, own.hosts, &history.hosts, || {
+                view.listed_hosts.to_vec()
+            }),
+            terms: ListNews::of(held.terms, own.terms, &history.terms, terms),
+            terms_digest: own.terms,
+            terms_age: view.terms_as_of.map(|as_of| BootTime::now().since(as_of)),
+        }
+    }
+
+    fn has_news(&self) -> bool {
+        self.endpoints.is_some()
+            || self.instances.is_some()
+            || self.hosts.is_some()
+            || self.terms.is_some()
+    }
+
+    /// The events that this knowledge amounts to, when it was asked for at
+    /// `asked_at` by a host that had `view`.
+    fn into_events(self, asked_at: BootTime, view: &TrafficView) -> Vec<ControlEvent> {
+        let mut events = Vec::new();
+        if let Some(hosts) = self.hosts {
+            events.push(ControlEvent::Hosts(hosts.into_list(&view.listed_hosts)));
+        }
+        if let Some(instances) = self.instances {
+            let list = instances.into_list(&view.listed);
+            events.push(ControlEvent::Instances(list));
+        }
+        events.extend(self.endpoints.map(ControlEvent::Endpoints));
+        let Some(age) = self.terms_age else {
+            return events;
+        };
+        // The age was measured after the question was asked.
+        let as_of = asked_at.before(age);
+        if let Some(news) = self.terms {
+            let records = match news {
+                ListNews::Whole(records) => records,
+                // Terms are never removed.
+                ListNews::Changes(changes) => changes.changed,
+            };
+            events.push(ControlEvent::Terms { as_of, records });
+        }
+        // Those that did not change stand as well, if this host has them all.
+        events.push(ControlEvent::TermsStand {
+            as_of,
+            digest: self.terms_digest,
+        });
+        events
+    }
+}
+
+/// Answers a question for news, at the latest when its wait is over.
+pub async fn answer_question(context: &SharedContext, question: LearnQuestion) -> HostKnowledge {
+    let wait = Duration::from_millis(question.wait_ms).min(FOLLOW_TIME);
+    let deadline = Instant::now() + wait;
+    loop {
+        let listener = context.view.listen();
+        let view = context.view.load();
+        let knowledge = HostKnowledge::of(context, &view, &question);
+        let is_done = knowledge.has_news() || !knowledge.is_current;
+        if is_done || Instant::now() >= deadline {
+            return knowledge;
+        }
+        context.view.wait(listener, deadline).await;
+    }
+}
+
+/// What another host knows more than this one, and when it was asked.
+pub async fn ask_host(
+    context: &SharedContext,
+    view: &TrafficView,
+    address: &str,
+    wait: Duration,
+) -> Option<(BootTime, Box<HostKnowledge>)> {
+    let question = LearnQuestion {
+        version: view.endpoints.as_ref().map_or(0, |table| table.version),
+        digests: view.digests,
+        wait_ms: u64::try_from(wait.as_millis()).unwrap_or_default(),
+    };
+    let asked_at = BootTime::now();
+    let deadline = Instant::now() + wait + FOLLOW_SLACK;
+    let call = ProxyCall::Learn(question);
+    match context.peers.call(address, call, deadline).await {
+        Ok(ProxyReply::Knowledge(knowledge)) => Some((asked_at, knowledge)),
+        Ok(_) | Err(_) => None,
+    }
+}
+
+/// Tells control what another host knew when it was asked at `asked_at`, by this
+/// one with `view`.
+pub fn tell_knowledge(
+    control: &ControlSender,
+    knowledge: HostKnowledge,
+    asked_at: BootTime,
+    view: &TrafficView,
+) {
+    for event in knowledge.into_events(asked_at, view) {
+        // Fails only while the process ends.
+        control.send(ControlMessage::Event(event)).ok();
+    }
+}
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -19,7 +19,9 @@
 use crate::entry::session::serve_caller;
 use crate::peers::{LINK_TIMING, ProxyCall, ProxyProtocol, ProxyReply};
 use crate::records::{WitnessNote, run_copies};
-use crate::relay::{answer_question, ask_terms, run_relay};
+use crate::relay::knowledge::answer_question;
+use crate::relay::line::ask_terms;
+use crate::relay::run_relay;
 
 /// Time between two rounds of upkeep; idle transactions end that much late.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -7,7 +7,7 @@
     DatabaseLimits, EndpointEntry, EndpointTable, HostEntry, InstanceEntry, ReadFreshness,
     TermRecord,
 };
-use fulmarrill_proxy::change::witnesses_of;
+use fulmarrill_proxy::change::witness::witnesses_of;
 use fulmarrill_proxy::clock::BootTime;
 use fulmarrill_proxy::codec::DatabaseRole;
 use fulmarrill_proxy::control::plan::{ChangeReason, ControlAction};
