--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -10,8 +10,8 @@
 //! next one in line and goes on trying: whoever is first, one reservation stands.
 
 pub mod candidate;
+pub mod reach;
 mod turn;
-pub mod witness;
 
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
@@ -23,8 +23,8 @@
 
 use crate::catalogue::{HostEntry, InstanceEntry, InstanceId, ObjectVersion, RunName, TermRecord};
 use crate::change::candidate::{ChangeCandidate, choose_candidate};
+use crate::change::reach::is_reached_by_others;
 use crate::change::turn::hand_change;
-use crate::change::witness::is_reached_by_others;
 use crate::clock::BootTime;
 use crate::codec::{DatabaseCommand, DatabaseRole, DatabaseStatus};
 use crate::context::SharedContext;
--- a/crates/proxy/src/change/witness.rs
+++ b/crates/proxy/src/change/reach.rs
@@ -15,24 +15,24 @@
 /// Hosts of each data centre that are asked whether they reach a primary. Their
 /// number does not grow with the fleet; if half of a data centre's hosts reach
 /// it, all of these miss it once in a thousand times.
-const WITNESSES_MAX: usize = 10;
+const HOSTS_ASKED_MAX: usize = 10;
 
 /// The hosts that are asked whether they reach an instance.
 #[must_use]
-pub fn witnesses_of<'a>(view: &'a TrafficView, instance: &str) -> Vec<&'a HostEntry> {
+pub fn hosts_asked<'a>(view: &'a TrafficView, instance: &str) -> Vec<&'a HostEntry> {
     let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-    let mut witnesses = Vec::new();
+    let mut asked = Vec::new();
     for name in rank_hosts(instance, view.hosts.keys().map(HostName::as_str)) {
         let Some(host) = view.hosts.get(name) else {
             continue;
         };
         let count = counts.entry(host.data_centre.as_str()).or_default();
-        if *count < WITNESSES_MAX {
+        if *count < HOSTS_ASKED_MAX {
             *count += 1;
-            witnesses.push(host);
+            asked.push(host);
         }
     }
-    witnesses
+    asked
 }
 
 /// Whether any other host reaches an instance.
@@ -42,7 +42,7 @@
     instance: &InstanceId,
 ) -> bool {
     let mut asking = Vec::new();
-    for host in witnesses_of(view, instance) {
+    for host in hosts_asked(view, instance) {
         if host.name == context.place.host || context.peers.is_avoided(&host.address) {
             continue;
         }
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -7,7 +7,7 @@
     DatabaseLimits, EndpointEntry, EndpointTable, HostEntry, InstanceEntry, ReadFreshness,
     TermRecord,
 };
-use fulmarrill_proxy::change::witness::witnesses_of;
+use fulmarrill_proxy::change::reach::hosts_asked;
 use fulmarrill_proxy::clock::BootTime;
 use fulmarrill_proxy::codec::DatabaseRole;
 use fulmarrill_proxy::control::plan::{ChangeReason, ControlAction};
@@ -402,8 +402,8 @@
     state.handle(now, ControlEvent::Hosts(hosts));
     let view = state.view();
     let mut asked = BTreeMap::new();
-    for witness in witnesses_of(&view, "a") {
-        *asked.entry(witness.data_centre.clone()).or_insert(0) += 1;
+    for asked_host in hosts_asked(&view, "a") {
+        *asked.entry(asked_host.data_centre.clone()).or_insert(0) += 1;
     }
     // Ten of each, and this host alone in its own data centre.
     let counts: Vec<i32> = asked.values().copied().collect();
