Never tell others of lists that were never read

A trace of what control takes showed an empty list of instances from the other host: one that has started and read nothing yet answered "nothing" as if it were the list.

Change: a list that was never read is no news. The relay waits until a list of hosts was read, be it empty.

Conclusion: hosts that start together, as after all are killed, could forget the replicas for some seconds.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -19,7 +19,7 @@
 use crate::clock::BootTime;
 use crate::control::plan::ChangeReason;
 use crate::history::ListChanges;
-use crate::view::{TermView, TrafficView, ViewDigests, ViewHistory, digest_of};
+use crate::view::{NEVER_READ, TermView, TrafficView, ViewDigests, ViewHistory, digest_of};
 
 /// Time for which a host may use a primary after it asked the store for the
 /// term. An outage of the store that is shorter by the time of one watch does
@@ -386,7 +386,7 @@
             }
             self.take_term(as_of, record, version);
         }
-        let is_first = self.digests.terms == ViewDigests::default().terms;
+        let is_first = self.digests.terms == NEVER_READ;
         if changed.is_empty() && !is_first {
             return;
         }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -25,7 +25,7 @@
 use crate::relay::line::{LEADERS_MAX, hosts_before};
 use crate::relay::sight::START_TIME;
 use crate::server::ControlSender;
-use crate::view::TrafficView;
+use crate::view::{NEVER_READ, TrafficView};
 
 /// Longest time for control to take over what was just heard; it needs less than
 /// one on an idle machine.
@@ -83,11 +83,11 @@
     addresses
 }
 
-/// Waits until control has a list of hosts, or a deadline.
+/// Waits until control has read a list of hosts, be it empty, or a deadline.
 async fn wait_for_hosts(context: &SharedContext, deadline: Instant) {
     while Instant::now() < deadline {
         let listener = context.view.listen();
-        if !context.view.load().listed_hosts.is_empty() {
+        if context.view.load().digests.hosts != NEVER_READ {
             return;
         }
         context.view.wait(listener, deadline).await;
--- a/crates/proxy/src/relay/knowledge.rs
+++ b/crates/proxy/src/relay/knowledge.rs
@@ -11,7 +11,7 @@
 use crate::history::{ListChanges, ListEntry, ListHistory};
 use crate::peers::{ProxyCall, ProxyReply};
 use crate::server::{ControlMessage, ControlSender};
-use crate::view::{TrafficView, ViewDigests};
+use crate::view::{NEVER_READ, TrafficView, ViewDigests};
 
 /// Longest wait of a question for news. Leases are as much older.
 pub const FOLLOW_TIME: Duration = Duration::from_secs(1);
@@ -39,14 +39,15 @@
 }
 
 impl<T: ListEntry + Clone + PartialEq> ListNews<T> {
-    /// News for a host whose list has the digest `held`; none if it has them.
-    fn of(
+    /// News for a host whose list has the digest `held`; none if it has them, or if
+    /// this host has never read the list: it would tell of an empty one.
+    pub fn of(
         held: u64,
         own: u64,
         history: &ListHistory<T>,
         whole: impl FnOnce() -> Vec<T>,
     ) -> Option<Self> {
-        if held == own {
+        if held == own || own == NEVER_READ {
             return None;
         }
         let changes = history.since(held).map(Self::Changes);
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -40,6 +40,9 @@
     }
 }
 
+/// Digest of a list that was never read; the digest of an empty one is another.
+pub const NEVER_READ: u64 = 0;
+
 /// Digests of the parts of a view, by which two hosts see whether they know the
 /// same.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -3,7 +3,11 @@
 use std::time::Duration;
 
 use compact_str::{CompactString, format_compact};
+use fulmarrill_proxy::catalogue::HostEntry;
+use fulmarrill_proxy::history::{ListChanges, ListHistory};
+use fulmarrill_proxy::relay::knowledge::ListNews;
 use fulmarrill_proxy::relay::{choose_leaders, watch_patience};
+use fulmarrill_proxy::view::NEVER_READ;
 use rstest::rstest;
 
 fn line(count: usize) -> Vec<CompactString> {
@@ -46,3 +50,21 @@
         assert!(found, "{address}");
     }
 }
+
+/// A host that has just started answers questions before it has read anything.
+#[test]
+fn host_that_never_read_a_list_does_not_tell_of_an_empty_one() {
+    let history: ListHistory<HostEntry> = ListHistory::default();
+    assert!(ListNews::of(7, NEVER_READ, &history, Vec::new).is_none());
+}
+
+#[test]
+fn news_are_the_whole_list_only_where_the_difference_is_not_known() {
+    let mut history: ListHistory<HostEntry> = ListHistory::default();
+    history.note(7, 8, ListChanges::between(&[], &[]));
+    assert!(ListNews::of(8, 8, &history, Vec::new).is_none());
+    let known = ListNews::of(7, 8, &history, Vec::new);
+    assert!(matches!(known, Some(ListNews::Changes(_))));
+    let unknown = ListNews::of(5, 8, &history, Vec::new);
+    assert!(matches!(unknown, Some(ListNews::Whole(_))));
+}
