--- a/crates/plots/src/bars.rs
+++ b/crates/plots/src/bars.rs
@@ -2,7 +2,7 @@
 
 use plotters::prelude::*;
 
-use crate::{PLOT_SIZE, PlotError};
+use crate::{DrawingError, PLOT_SIZE, PlotError};
 
 /// Colour of bars.
 const BAR_COLOUR: RGBColor = RGBColor(60, 80, 160);
@@ -50,8 +50,6 @@
     Ok(svg)
 }
 
-type DrawingError<'a> = DrawingAreaErrorKind<<SVGBackend<'a> as DrawingBackend>::ErrorType>;
-
 fn draw<'a>(plot: &BarPlot, svg: &'a mut String) -> Result<(), DrawingError<'a>> {
     let highest = plot.bars.iter().map(|(_, figure)| *figure);
     let highest = highest.fold(f64::MIN_POSITIVE, f64::max) * 1.2;
--- a/crates/plots/src/counts.rs
+++ b/crates/plots/src/counts.rs
@@ -4,7 +4,7 @@
 
 use plotters::prelude::*;
 
-use crate::{PLOT_SIZE, PlotError};
+use crate::{DrawingError, PLOT_SIZE, PlotError};
 
 /// Colours of series, in their order; green is meant for what went well.
 const COLOURS: [RGBColor; 5] = [
@@ -103,8 +103,6 @@
     Ok(svg)
 }
 
-type DrawingError<'a> = DrawingAreaErrorKind<<SVGBackend<'a> as DrawingBackend>::ErrorType>;
-
 fn draw<'a>(plot: &CountPlot, steps: usize, svg: &'a mut String) -> Result<(), DrawingError<'a>> {
     let step = plot.step.as_secs_f64();
     let end = step * real(steps as u64);
--- a/crates/plots/src/lib.rs
+++ b/crates/plots/src/lib.rs
@@ -19,6 +19,7 @@
 mod counts;
 mod page;
 
+use plotters::prelude::{DrawingAreaErrorKind, DrawingBackend, SVGBackend};
 use thiserror::Error;
 
 pub use crate::bars::{BarPlot, draw_bars};
@@ -28,6 +29,9 @@
 /// Width and height of a plot, in pixels: two of them fill a usual screen.
 const PLOT_SIZE: (u32, u32) = (1000, 320);
 
+/// What the drawing library says when it gives up.
+type DrawingError<'a> = DrawingAreaErrorKind<<SVGBackend<'a> as DrawingBackend>::ErrorType>;
+
 /// A plot that cannot be drawn.
 #[derive(Debug, Error)]
 pub enum PlotError {
