--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -34,7 +34,7 @@
 use crate::peers::ProxyCall;
 use crate::peers::ProxyReply;
 use crate::port::{ControlPort, PromoteOrder, PromoteOutcome};
-use crate::relay::order::notify_term_written;
+use crate::relay::notice::notify_term_written;
 use crate::server::{ControlMessage, ControlSender, release_term};
 use crate::view::TrafficView;
 
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -18,6 +18,7 @@
 use crate::peers::pool::PeerPool;
 use crate::records::RecordKeeper;
 use crate::relay::monitor::StoreMonitor;
+use crate::relay::spreading::SharedSpread;
 use crate::report::StatementLog;
 use crate::view::{TrafficView, ViewCell};
 
@@ -59,8 +60,10 @@
     pub statements: StatementLog,
     /// Customers' records of requests.
     pub records: RecordKeeper,
-    /// When the store answered last, and whether this host should watch it.
+    /// Whether the store answers this host, and whether it should watch it.
     pub store: StoreMonitor,
+    /// Which hosts the store answers, and whom to poll.
+    pub spreading: SharedSpread,
     leaving: AtomicBool,
     closing: AtomicBool,
     close_event: Event,
@@ -86,7 +89,8 @@
             seeds: PublishedCell::new(Vec::new()),
             statements: StatementLog::new(),
             records: RecordKeeper::new(&place.run),
-            store: StoreMonitor::new(Instant::now()),
+            store: StoreMonitor::default(),
+            spreading: SharedSpread::new(&place),
             leaving: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             close_event: Event::new(),
@@ -109,6 +113,7 @@
     pub fn dump(&self) -> serde_json::Value {
         let view = self.view.load();
         let now = BootTime::now();
+        let age_ms = |at: Option<BootTime>| at.map(|at| now.since(at).as_millis().to_string());
         let mut terms = Vec::new();
         for term in view.terms.values() {
             terms.push(serde_json::json!({
@@ -124,7 +129,12 @@
             "configuration": view.endpoints.as_ref().map(|table| table.version),
             "is_ready": self.is_ready(),
             "watches_store": self.store.is_watching(),
-            "store_overdue": self.store.is_overdue(Instant::now()),
+            "store_overdue": self.spreading.sources(Instant::now()).is_empty(),
+            "age_ms": {
+                "configuration": age_ms(view.confirmed.configuration),
+                "instances": age_ms(view.confirmed.instances),
+                "terms": age_ms(view.confirmed.terms),
+            },
             "hosts": &*view.hosts,
             "leaving": &*view.leaving,
             "instances": &*view.instances,
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use fulmarrill_position::{DatabaseName, Term};
+use fulmarrill_spread::{KnownVersions, ListVersion, UNREAD_DIGEST};
 
 use crate::catalogue::{
     EndpointTable, HostEntry, HostName, InstanceEntry, InstanceId, ObjectVersion, RunName,
@@ -20,7 +21,7 @@
 use crate::clock::BootTime;
 use crate::control::plan::ChangeReason;
 use crate::history::ListChanges;
-use crate::view::{TermView, TrafficView, UNREAD_DIGEST, ViewDigests, ViewHistory, digest_of};
+use crate::view::{TermView, TrafficView, ViewHistory, digest_of};
 
 /// Time for which a host may use a primary after it asked the store for the
 /// term. Writes continue during an outage of the store that is shorter than this
@@ -32,30 +33,62 @@
 /// expired during an outage of the store are back within two seconds of its end.
 const MISSING_GRACE_TIME: Duration = Duration::from_millis(2500);
 
+/// Latest times at which the store is known to have held the lists of a view.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ConfirmedTimes {
+    /// The configuration.
+    pub configuration: Option<BootTime>,
+    /// The instances.
+    pub instances: Option<BootTime>,
+    /// The terms.
+    pub terms: Option<BootTime>,
+}
+
 /// An event that changes the control state.
 #[derive(Debug)]
 pub enum ControlEvent {
     /// A configuration was read.
     Endpoints(EndpointTable),
+    /// The store still held the configuration of this version at `as_of`.
+    EndpointsUnchanged {
+        /// Version of the configuration.
+        version: u64,
+        /// When the store was asked.
+        as_of: BootTime,
+    },
     /// The whole list of instances was read.
-    Instances(Vec<InstanceEntry>),
+    Instances {
+        /// Revision of the store at which the list was current.
+        revision: u64,
+        /// When the list was requested.
+        as_of: Option<BootTime>,
+        /// The instances.
+        list: Vec<InstanceEntry>,
+    },
     /// The whole list of hosts was read.
-    Hosts(Vec<HostEntry>),
+    Hosts {
+        /// Revision of the store at which the list was current.
+        revision: u64,
+        /// The hosts.
+        list: Vec<HostEntry>,
+    },
+    /// The store still held the states of these versions at these times.
+    Confirmed {
+        /// The versions.
+        versions: KnownVersions,
+        /// The times.
+        confirmed: ConfirmedTimes,
+    },
     /// The whole list of term records was read; it was current at `as_of` or
     /// later.
     Terms {
         /// When the list was requested.
         as_of: BootTime,
+        /// Revision of the store at which the list was current.
+        revision: u64,
         /// Records with their versions.
         records: Vec<(TermRecord, ObjectVersion)>,
     },
-    /// The store still held the term records with this digest at `as_of`.
-    TermsUnchanged {
-        /// When the store was asked.
-        as_of: BootTime,
-        /// Digest of the records.
-        digest: u64,
-    },
     /// One term record was written.
     Term {
         /// When the write was sent.
@@ -113,10 +146,10 @@
     listing: OwnListing,
     terms: BTreeMap<DatabaseName, TermView>,
     leader_terms: BTreeMap<InstanceId, Term>,
-    terms_as_of: Option<BootTime>,
+    confirmed: ConfirmedTimes,
     listed_instances: Arc<Vec<InstanceEntry>>,
     listed_hosts: Arc<Vec<HostEntry>>,
-    digests: ViewDigests,
+    versions: KnownVersions,
     history: Arc<ViewHistory>,
     terms_read: bool,
     hosts_read: bool,
@@ -128,6 +161,11 @@
     leaving: bool,
 }
 
+/// Whether a list of an earlier revision arrives after the `held` one.
+const fn is_outdated(held: ListVersion, revision: u64) -> bool {
+    held.digest != UNREAD_DIGEST && revision < held.revision
+}
+
 impl ControlState {
     /// The state of a host that has read nothing yet and knows only itself.
     #[must_use]
@@ -146,10 +184,10 @@
             listing: OwnListing::default(),
             terms: BTreeMap::new(),
             leader_terms: BTreeMap::new(),
-            terms_as_of: None,
+            confirmed: ConfirmedTimes::default(),
             listed_instances: Arc::default(),
             listed_hosts: Arc::default(),
-            digests: ViewDigests::default(),
+            versions: KnownVersions::default(),
             history: Arc::default(),
             terms_read: false,
             hosts_read: false,
@@ -171,10 +209,10 @@
             hosts: self.hosts.clone(),
             leaving: self.leaving_hosts.clone(),
             terms: Arc::new(self.terms.clone()),
-            terms_as_of: self.terms_as_of,
+            confirmed: self.confirmed,
             listed_instances: self.listed_instances.clone(),
             listed_hosts: self.listed_hosts.clone(),
-            digests: self.digests,
+            versions: self.versions,
             history: self.history.clone(),
         }
     }
@@ -190,11 +228,29 @@
                     .is_none_or(|held| table.version > held.version);
                 if newer {
                     log::info!("configuration {} is in force", table.version);
+                    self.versions.configuration = table.version;
                     self.endpoints = Some(Arc::new(table));
                 }
             }
-            ControlEvent::Instances(list) => self.apply_instances(now, list),
-            ControlEvent::Hosts(list) => self.apply_hosts(now, list),
+            ControlEvent::Instances {
+                revision,
+                as_of,
+                list,
+            } => {
+                if self.apply_instances(now, revision, list) {
+                    self.confirmed.instances = self.confirmed.instances.max(as_of);
+                }
+            }
+            ControlEvent::EndpointsUnchanged { version, as_of } => {
+                if self.versions.configuration == version {
+                    self.confirmed.configuration = self.confirmed.configuration.max(Some(as_of));
+                }
+            }
+            ControlEvent::Hosts { revision, list } => self.apply_hosts(now, revision, list),
+            ControlEvent::Confirmed {
+                versions,
+                confirmed,
+            } => self.confirm(versions, confirmed),
             ControlEvent::InstancesDown(down) => self.down_instances = down,
             ControlEvent::ChangeHandedOver { database, term } => {
                 self.handed_over.insert(database, term);
@@ -203,15 +259,16 @@
                 self.leaving = true;
                 Arc::make_mut(&mut self.hosts).remove(&self.own.name);
             }
-            ControlEvent::Terms { as_of, records } => {
+            ControlEvent::Terms {
+                as_of,
+                revision,
+                records,
+            } => {
                 self.terms_read = true;
                 self.apply_terms(as_of, records);
-                self.terms_as_of = self.terms_as_of.max(Some(as_of));
-            }
-            ControlEvent::TermsUnchanged { as_of, digest } => {
-                if digest == self.digests.terms {
-                    self.extend_leases(as_of);
-                }
+                let terms = &mut self.versions.terms;
+                terms.revision = terms.revision.max(revision);
+                self.confirmed.terms = self.confirmed.terms.max(Some(as_of));
             }
             ControlEvent::Term {
                 as_of,
@@ -226,10 +283,37 @@
         }
     }
 
+    /// Records until when the store is known to have held these versions. Leases are
+    /// extended if the terms are the same.
+    fn confirm(&mut self, versions: KnownVersions, confirmed: ConfirmedTimes) {
+        let own = &mut self.confirmed;
+        if versions.configuration == self.versions.configuration {
+            own.configuration = own.configuration.max(confirmed.configuration);
+        }
+        if self.versions.instances.confirm(versions.instances) {
+            own.instances = own.instances.max(confirmed.instances);
+        }
+        self.versions.hosts.confirm(versions.hosts);
+        if self.versions.terms.confirm(versions.terms)
+            && let Some(as_of) = confirmed.terms
+        {
+            self.extend_leases(as_of);
+        }
+    }
+
     /// Applies a list of instances. An instance that is missing from it is kept
     /// for a while, since entries expire during an outage of the store. A primary
     /// is kept until another instance leads.
-    fn apply_instances(&mut self, now: Instant, mut list: Vec<InstanceEntry>) {
+    /// Returns whether it was applied; one of an earlier revision is not.
+    fn apply_instances(
+        &mut self,
+        now: Instant,
+        revision: u64,
+        mut list: Vec<InstanceEntry>,
+    ) -> bool {
+        if is_outdated(self.versions.instances, revision) {
+            return false;
+        }
         // All hosts use the same order, since they compare digests of lists.
         list.sort_by(|a, b| a.id.cmp(&b.id));
         let digest = digest_of(&list);
@@ -237,8 +321,8 @@
         let history = Arc::make_mut(&mut self.history);
         history
             .instances
-            .record(self.digests.instances, digest, changes);
-        self.digests.instances = digest;
+            .record(self.versions.instances.digest, digest, changes);
+        self.versions.instances = ListVersion::new(digest, revision);
         self.listed_instances = Arc::new(list.clone());
         let mut instances = BTreeMap::new();
         for entry in list {
@@ -258,18 +342,24 @@
             }
         }
         self.instances = Arc::new(instances);
+        true
     }
 
     /// Applies a list of hosts. This host counts as taking new work until it is told
     /// to leave, however it is listed.
-    fn apply_hosts(&mut self, now: Instant, mut list: Vec<HostEntry>) {
+    fn apply_hosts(&mut self, now: Instant, revision: u64, mut list: Vec<HostEntry>) {
+        if is_outdated(self.versions.hosts, revision) {
+            return;
+        }
         self.hosts_read = true;
         list.sort_by(|a, b| a.name.cmp(&b.name));
         let digest = digest_of(&list);
         let changes = ListChanges::between(&self.listed_hosts, &list);
         let history = Arc::make_mut(&mut self.history);
-        history.hosts.record(self.digests.hosts, digest, changes);
-        self.digests.hosts = digest;
+        history
+            .hosts
+            .record(self.versions.hosts.digest, digest, changes);
+        self.versions.hosts = ListVersion::new(digest, revision);
         self.listed_hosts = Arc::new(list.clone());
         self.update_listing(now, &list);
         let (mut hosts, mut leaving) = (BTreeMap::new(), BTreeMap::new());
@@ -350,7 +440,7 @@
         for term in self.terms.values_mut() {
             term.lease_until = term.lease_until.max(lease_until);
         }
-        self.terms_as_of = self.terms_as_of.max(Some(as_of));
+        self.confirmed.terms = self.confirmed.terms.max(Some(as_of));
     }
 
     fn is_primary(&self, id: &InstanceId) -> bool {
@@ -387,23 +477,27 @@
     fn apply_terms(&mut self, as_of: BootTime, records: Vec<VersionedTerm>) {
         let mut changed = Vec::new();
         for (record, version) in records {
+            let revision = &mut self.versions.terms.revision;
+            *revision = (*revision).max(version);
             let held = self.terms.get(&record.database);
             if held.is_none_or(|held| held.version < version) {
                 changed.push((record.clone(), version));
             }
             self.apply_term(as_of, record, version);
         }
-        let is_first = self.digests.terms == UNREAD_DIGEST;
+        let is_first = self.versions.terms.digest == UNREAD_DIGEST;
         if changed.is_empty() && !is_first {
             return;
         }
         let digest = self.digest_terms();
         let removed = Vec::new();
         let history = Arc::make_mut(&mut self.history);
-        history
-            .terms
-            .record(self.digests.terms, digest, ListChanges { changed, removed });
-        self.digests.terms = digest;
+        history.terms.record(
+            self.versions.terms.digest,
+            digest,
+            ListChanges { changed, removed },
+        );
+        self.versions.terms.digest = digest;
     }
 
     fn apply_term(&mut self, as_of: BootTime, record: TermRecord, version: ObjectVersion) {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -1,183 +1,147 @@
-//! Relays the state of the store between hosts, so that few hosts watch the
+//! Spreads the state of the store between hosts, so that few hosts watch the
 //! store itself.
 //!
-//! The hosts of each data centre have a watch order. The first one watches the
-//! store; each of the others long-polls an upstream host that precedes it. A
-//! host that gets nothing current from its upstreams watches the store itself:
-//! the first hosts of the order at once, the others after a delay, so that an
-//! outage of the store does not make all hosts call it. A host that the store
-//! does not answer polls a few random hosts.
+//! `fulmarrill-spread` decides which hosts watch and whom the others poll; this
+//! module carries its messages. A host polls three feeds at the same time. Its
+//! parent in the tree of the data centre sends new state with its answer; the
+//! other two send versions, and their state is fetched only if it does not
+//! arrive from the parent.
 //!
-//! Leases may be relayed, since they count from the request to the store,
-//! whichever host sent it.
+//! State is taken from any host, since lists are compared by the store's
+//! revision. Leases may be relayed, since they count from the request to the
+//! store, whichever host sent it.
 
 pub mod monitor;
-pub mod order;
+pub mod notice;
+pub mod spreading;
 pub mod update;
 
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use fulmarrill_runtime::timeout_at;
+use fulmarrill_spread::{FeedKind, UNREAD_DIGEST};
 use smol::Timer;
 
 use crate::context::SharedContext;
 use crate::relay::monitor::FIRST_ANSWER_TIME;
-use crate::relay::order::{FIXED_UPSTREAMS_MAX, preceding_hosts};
-use crate::relay::update::{LONG_POLL_TIME, forward_update, request_update};
+use crate::relay::update::{forward_update, request_update};
 use crate::server::ControlSender;
-use crate::view::{TrafficView, UNREAD_DIGEST};
 
 /// Longest time for the control thread to apply an update; it needs less than a
 /// millisecond on an idle machine.
 const CONTROL_APPLY_TIME: Duration = Duration::from_millis(100);
-/// Time between two rounds of a host that watches the store.
-const WATCHING_INTERVAL: Duration = Duration::from_millis(500);
-/// Time between two rounds of a host that waits for a preceding one.
-const WAITING_INTERVAL: Duration = Duration::from_millis(250);
-/// Delay before a host watches the store, for each [`HOSTS_PER_STEP`] hosts that
-/// precede it: several times what one of these needs to list the store and to
-/// relay the result.
-const WATCH_DELAY_STEP: Duration = Duration::from_millis(1500);
-/// Upper bound of the delay in steps: after six seconds every host tries.
-const WATCH_DELAY_STEPS_MAX: u32 = 4;
-/// Hosts that watch after the same delay. The first ones of a watch order have
-/// no delay.
-const HOSTS_PER_STEP: usize = 3;
-/// Random hosts that a host polls in one round while the store does not answer.
-const RANDOM_HOSTS_MAX: usize = 4;
-/// Least time between two polls: the views of two hosts may differ for a moment,
-/// and a poll is answered at once while they do.
+/// Time between two decisions whether to watch the store, and before a feed that
+/// has nobody to poll, or whose poll failed, tries again.
+const ROUND_INTERVAL: Duration = Duration::from_millis(250);
+/// Least time between two polls of a feed: a poll is answered at once while the
+/// versions of two hosts differ.
 const POLL_INTERVAL: Duration = Duration::from_millis(30);
-
-/// Chooses the upstreams that a host tries to poll among those that precede it:
-/// the first ones, and the one that the number `random` selects among the rest.
-#[must_use]
-pub fn choose_upstreams(hosts: &[CompactString], random: usize) -> Vec<CompactString> {
-    let (head, rest) = hosts.split_at(hosts.len().min(FIXED_UPSTREAMS_MAX));
-    let mut upstreams = head.to_vec();
-    if !rest.is_empty() {
-        upstreams.push(rest[random % rest.len()].clone());
-    }
-    upstreams
-}
-
-/// How long a host with `preceding` hosts before it waits for a current upstream
-/// before it watches the store itself.
-#[must_use]
-pub fn watch_delay(preceding: usize) -> Duration {
-    let steps = u32::try_from(preceding / HOSTS_PER_STEP).unwrap_or(u32::MAX);
-    WATCH_DELAY_STEP * steps.min(WATCH_DELAY_STEPS_MAX)
-}
-
-/// Chooses a few other hosts at random, reachable ones first.
-fn random_hosts(context: &SharedContext, view: &TrafficView) -> Vec<CompactString> {
-    let mut addresses: Vec<CompactString> = Vec::new();
-    for host in view.hosts.values() {
-        addresses.push(host.address.clone());
-    }
-    addresses.extend(context.seeds.load().iter().cloned());
-    addresses.retain(|address| *address != context.place.address);
-    addresses.sort();
-    addresses.dedup();
-    fastrand::shuffle(&mut addresses);
-    addresses.sort_by_key(|address| context.peers.is_avoided(address));
-    addresses.truncate(RANDOM_HOSTS_MAX);
-    addresses
-}
+/// Time for new state to arrive from the parent before it is fetched from a host
+/// that has told of it.
+const PARENT_LEAD_TIME: Duration = Duration::from_millis(80);
 
 /// Waits until the view contains a list of hosts, even an empty one, but no longer
 /// than `deadline`.
 async fn wait_for_host_list(context: &SharedContext, deadline: Instant) {
     while Instant::now() < deadline {
         let listener = context.view.listen();
-        if context.view.load().digests.hosts != UNREAD_DIGEST {
+        if context.view.load().versions.hosts.digest != UNREAD_DIGEST {
             return;
         }
         context.view.wait(listener, deadline).await;
     }
 }
 
-/// Polls upstream hosts and decides whether this host watches the store, for as
-/// long as the task lives.
-pub async fn run_relay(context: SharedContext, control: ControlSender) {
-    // The watch order is known once control has applied the first list of hosts.
-    let start = Instant::now();
+/// Waits until this host has read the list of hosts, or the store should have
+/// answered for the first time.
+async fn wait_for_start(context: &SharedContext) {
+    let deadline = Instant::now() + FIRST_ANSWER_TIME + CONTROL_APPLY_TIME;
     let host_list = async {
         context.store.wait_for_first_answer().await;
-        wait_for_host_list(&context, start + FIRST_ANSWER_TIME + CONTROL_APPLY_TIME).await;
+        wait_for_host_list(context, deadline).await;
     };
-    timeout_at(start + FIRST_ANSWER_TIME + CONTROL_APPLY_TIME, host_list)
-        .await
-        .ok();
-    let mut no_upstream_since = None;
+    timeout_at(deadline, host_list).await.ok();
+}
+
+/// Decides again and again whether this host watches the store, for as long as the
+/// task lives.
+pub async fn run_watch_decisions(context: SharedContext) {
+    wait_for_start(&context).await;
+    loop {
+        let should_watch = context.spreading.should_watch(Instant::now());
+        context.store.set_watching(should_watch);
+        Timer::after(ROUND_INTERVAL).await;
+    }
+}
+
+/// Polls a feed for as long as the task lives.
+pub async fn run_feed(context: SharedContext, control: ControlSender, kind: FeedKind) {
+    wait_for_start(&context).await;
+    let mut failures = 0;
     loop {
         let next_at = Instant::now() + POLL_INTERVAL;
-        let hosts = preceding_hosts(&context, &context.view.load());
-        if poll_upstreams(&context, &control, &hosts).await {
-            no_upstream_since = None;
-            context.store.set_watching(false);
+        let addresses = feed_addresses(&context, kind);
+        let address = addresses.get(failures % addresses.len().max(1));
+        let is_answered = match address {
+            Some(address) => poll_feed(&context, &control, address, kind).await,
+            None => false,
+        };
+        if is_answered {
+            failures = 0;
             Timer::at(next_at).await;
-            continue;
-        }
-        let now = Instant::now();
-        let waiting_since = *no_upstream_since.get_or_insert(now);
-        let should_watch = now >= waiting_since + watch_delay(hosts.len());
-        if should_watch {
-            context.store.set_watching(true);
-        }
-        if context.store.is_overdue(now) {
-            let view = context.view.load();
-            for address in random_hosts(&context, &view) {
-                if poll_host(&context, &control, &address, Duration::ZERO).await {
-                    break;
-                }
-            }
-        }
-        let interval = if should_watch {
-            WATCHING_INTERVAL
         } else {
-            WAITING_INTERVAL
-        };
-        Timer::after(interval).await;
+            failures += 1;
+            Timer::after(ROUND_INTERVAL).await;
+        }
     }
 }
 
-/// Polls the upstreams among the preceding `hosts` until one is current. Returns
-/// whether one was.
-async fn poll_upstreams(
-    context: &SharedContext,
-    control: &ControlSender,
-    hosts: &[CompactString],
-) -> bool {
-    for address in choose_upstreams(hosts, fastrand::usize(..)) {
-        if context.peers.is_avoided(&address) {
-            continue;
-        }
-        if poll_host(context, control, &address, LONG_POLL_TIME).await {
-            return true;
-        }
+/// Addresses that a feed may poll. A host that knows no other host asks the seeds
+/// of its settings.
+fn feed_addresses(context: &SharedContext, kind: FeedKind) -> Vec<CompactString> {
+    let mut addresses = context.spreading.feed_addresses(kind);
+    if addresses.is_empty() && kind == FeedKind::Parent {
+        addresses.extend(context.seeds.load().iter().cloned());
+        addresses.retain(|address| *address != context.place.address);
     }
-    false
+    addresses.retain(|address| !context.peers.is_avoided(address));
+    addresses
 }
 
-/// Polls one host and forwards its update to control. Returns whether the update
-/// is current; one that is not is used only while this host has no configuration.
-async fn poll_host(
+/// Polls one host. Returns whether it answered.
+async fn poll_feed(
     context: &SharedContext,
     control: &ControlSender,
     address: &str,
-    wait: Duration,
+    kind: FeedKind,
 ) -> bool {
     let view = context.view.load();
-    let request = request_update(context, &view, address, wait);
-    let Some((asked_at, update)) = request.await else {
+    let wait = kind.longest_wait();
+    let request = request_update(context, &view, address, wait, kind.brings_state());
+    let Some(update) = request.await else {
         return false;
     };
-    let is_current = update.is_current;
-    if !is_current && view.endpoints.is_some() {
-        return false;
+    let versions = update.versions();
+    forward_update(context, control, update, &view);
+    if kind.brings_state() || !versions.has_news_for(&context.view.load().versions) {
+        return true;
     }
-    forward_update(context, control, *update, asked_at, &view);
-    is_current
+    Timer::after(PARENT_LEAD_TIME).await;
+    if versions.has_news_for(&context.view.load().versions) {
+        return fetch_state(context, control, address).await;
+    }
+    true
+}
+
+/// Fetches everything that the host at `address` knows and this one does not.
+/// Returns whether it answered.
+pub async fn fetch_state(context: &SharedContext, control: &ControlSender, address: &str) -> bool {
+    let view = context.view.load();
+    let request = request_update(context, &view, address, Duration::ZERO, true);
+    let Some(update) = request.await else {
+        return false;
+    };
+    forward_update(context, control, update, &view);
+    true
 }
--- a/crates/proxy/src/relay/monitor.rs
+++ b/crates/proxy/src/relay/monitor.rs
@@ -2,20 +2,18 @@
 //! it.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use event_listener::Event;
 
-/// Age of the store's last answer after which the next one is overdue. The watch
-/// of terms is answered every two seconds, and the answer may take one more.
-const OVERDUE_TIME: Duration = Duration::from_millis(3100);
 /// Time after the start of a host within which the store should answer.
 pub const FIRST_ANSWER_TIME: Duration = Duration::from_millis(600);
 
 /// Outcome of the calls to the store so far.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum StoreHealth {
     /// No call has ended yet.
+    #[default]
     Unknown,
     /// All calls have failed.
     NeverAnswered,
@@ -25,34 +23,20 @@
     Failing,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct MonitorState {
-    overdue_at: Instant,
     health: StoreHealth,
     should_watch: bool,
 }
 
 /// Failure detector for the store, and the flag that makes this host watch it.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct StoreMonitor {
     state: Mutex<MonitorState>,
     changed: Event,
 }
 
 impl StoreMonitor {
-    /// Creates the monitor of a host that started at `now`.
-    #[must_use]
-    pub fn new(now: Instant) -> Self {
-        Self {
-            state: Mutex::new(MonitorState {
-                overdue_at: now + FIRST_ANSWER_TIME,
-                health: StoreHealth::Unknown,
-                should_watch: false,
-            }),
-            changed: Event::new(),
-        }
-    }
-
     fn state(&self) -> MutexGuard<'_, MonitorState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -69,9 +53,8 @@
     }
 
     /// Records an answer to the watch of terms.
-    pub fn record_answer(&self, now: Instant) {
+    pub fn record_answer(&self) {
         let mut state = self.state();
-        state.overdue_at = now + OVERDUE_TIME;
         let health = std::mem::replace(&mut state.health, StoreHealth::Answering);
         drop(state);
         if health != StoreHealth::Answering {
@@ -108,12 +91,6 @@
         self.wait_until(|state| state.should_watch).await;
     }
 
-    /// Whether the next answer is overdue.
-    #[must_use]
-    pub fn is_overdue(&self, now: Instant) -> bool {
-        now >= self.state().overdue_at
-    }
-
     /// Whether this host should watch the store.
     #[must_use]
     pub fn is_watching(&self) -> bool {
--- a/crates/proxy/src/relay/update.rs
+++ b/crates/proxy/src/relay/update.rs
@@ -2,31 +2,39 @@
 
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
+use fulmarrill_spread::{KnownVersions, SourceAges, UNREAD_DIGEST, is_source_news};
 use serde::{Deserialize, Serialize};
 
 use crate::catalogue::{EndpointTable, HostEntry, InstanceEntry, VersionedTerm};
 use crate::clock::BootTime;
 use crate::context::SharedContext;
-use crate::control::ControlEvent;
+use crate::control::{ConfirmedTimes, ControlEvent};
 use crate::history::{ListChanges, ListEntry, ListHistory};
 use crate::peers::{ProxyCall, ProxyReply};
 use crate::server::{ControlMessage, ControlSender};
-use crate::view::{TrafficView, UNREAD_DIGEST, ViewDigests};
+use crate::view::TrafficView;
 
-/// Longest wait of a long poll. Relayed leases are older by up to this time.
-pub const LONG_POLL_TIME: Duration = Duration::from_secs(1);
+/// Longest wait of a long poll.
+pub const LONG_POLL_TIME: Duration = Duration::from_secs(2);
 /// Time beyond its wait within which a long poll must be answered.
 pub const LONG_POLL_SLACK: Duration = Duration::from_millis(500);
 
 /// A long poll for changes that the requesting host does not have.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ViewRequest {
-    /// Version of the configuration that the requesting host has, zero if none.
-    pub version: u64,
-    /// Digests of the lists that it has.
-    pub digests: ViewDigests,
+    /// Versions that the requesting host has.
+    #[serde(rename = "v")]
+    pub versions: KnownVersions,
+    /// Ages of the latest sources that it knows, ascending, in milliseconds.
+    #[serde(rename = "a")]
+    pub source_ages_ms: Vec<u64>,
     /// How long the answer may wait for a change, in milliseconds.
+    #[serde(rename = "w")]
     pub wait_ms: u64,
+    /// Whether the answer should contain new state, and not only its versions.
+    #[serde(rename = "s")]
+    pub wants_state: bool,
 }
 
 /// The new state of a list, whole or as changes to the state that the requesting
@@ -65,154 +73,255 @@
     }
 }
 
-/// What the requesting host lacks of the answering host's view of the store.
+/// What a host knows, and what the requesting host lacks of it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ViewUpdate {
-    /// Whether the store answers the host that sends this update.
-    pub is_current: bool,
+    /// Versions of the answering host.
+    #[serde(rename = "v")]
+    versions: KnownVersions,
+    /// Hosts that the store has answered lately, with the milliseconds since then.
+    #[serde(rename = "s")]
+    sources: Vec<(CompactString, u64)>,
+    /// Times between the last requests to the store that confirmed the lists and
+    /// this update.
+    #[serde(rename = "a")]
+    ages: ConfirmedAges,
     /// Configuration, if it is newer.
-    pub endpoints: Option<EndpointTable>,
-    /// Instances, if they differ.
-    pub instances: Option<ListUpdate<InstanceEntry>>,
-    /// Hosts, if they differ.
-    pub hosts: Option<ListUpdate<HostEntry>>,
-    /// Terms with their versions, if they differ.
-    pub terms: Option<ListUpdate<VersionedTerm>>,
-    /// Digest of all terms of the answering host.
-    pub terms_digest: u64,
-    /// Time between the request to the store for the terms and this update.
-    pub terms_age: Option<Duration>,
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    endpoints: Option<EndpointTable>,
+    /// Instances, if they are newer.
+    #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
+    instances: Option<ListUpdate<InstanceEntry>>,
+    /// Hosts, if they are newer.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    hosts: Option<ListUpdate<HostEntry>>,
+    /// Terms with their versions, if some may be newer.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    terms: Option<ListUpdate<VersionedTerm>>,
+}
+
+/// [`ConfirmedTimes`] as ages, since the clocks of hosts are not compared.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct ConfirmedAges {
+    #[serde(rename = "c")]
+    configuration: Option<Duration>,
+    #[serde(rename = "i")]
+    instances: Option<Duration>,
+    #[serde(rename = "t")]
+    terms: Option<Duration>,
+}
+
+impl ConfirmedAges {
+    fn new(confirmed: &ConfirmedTimes) -> Self {
+        let now = BootTime::now();
+        let age = |at: Option<BootTime>| at.map(|at| now.since(at));
+        Self {
+            configuration: age(confirmed.configuration),
+            instances: age(confirmed.instances),
+            terms: age(confirmed.terms),
+        }
+    }
+
+    /// The times of which these were the ages at `asked_at` or later.
+    fn before(self, asked_at: BootTime) -> ConfirmedTimes {
+        let time = |age: Option<Duration>| age.map(|age| asked_at.before(age));
+        ConfirmedTimes {
+            configuration: time(self.configuration),
+            instances: time(self.instances),
+            terms: time(self.terms),
+        }
+    }
+}
+
+/// The answer to a long poll, with the moment of the poll.
+#[derive(Debug)]
+pub struct ReceivedUpdate {
+    asked_at: BootTime,
+    update: Box<ViewUpdate>,
+}
+
+impl ReceivedUpdate {
+    /// Versions of the answering host.
+    #[must_use]
+    pub fn versions(&self) -> KnownVersions {
+        self.update.versions
+    }
 }
 
 impl ViewUpdate {
     /// The answer to `request` from this host's `view`.
     fn for_request(context: &SharedContext, view: &TrafficView, request: &ViewRequest) -> Self {
-        let (held, own) = (&request.digests, &view.digests);
-        let endpoints = view.endpoints.as_deref();
-        let history = &view.history;
-        let terms = || {
-            let terms = view.terms.values();
-            terms
-                .map(|term| (term.record.clone(), term.version))
-                .collect()
+        let now = Instant::now();
+        let sources = context.spreading.sources(now).into_iter();
+        let mut update = Self {
+            versions: view.versions,
+            sources: sources.map(|(host, age)| (host, millis(age))).collect(),
+            ages: ConfirmedAges::new(&view.confirmed),
+            endpoints: None,
+            instances: None,
+            hosts: None,
+            terms: None,
         };
-        Self {
-            is_current: !context.store.is_overdue(Instant::now()),
-            endpoints: endpoints
-                .filter(|table| table.version > request.version)
-                .cloned(),
-            instances: ListUpdate::for_digest(
-                held.instances,
-                own.instances,
-                &history.instances,
-                || view.listed_instances.to_vec(),
-            ),
-            hosts: ListUpdate::for_digest(held.hosts, own.hosts, &history.hosts, || {
-                view.listed_hosts.to_vec()
-            }),
-            terms: ListUpdate::for_digest(held.terms, own.terms, &history.terms, terms),
-            terms_digest: own.terms,
-            terms_age: view.terms_as_of.map(|as_of| BootTime::now().since(as_of)),
+        if request.wants_state {
+            update.add_state(view, &request.versions);
         }
+        update
     }
 
-    fn has_changes(&self) -> bool {
-        self.endpoints.is_some()
-            || self.instances.is_some()
-            || self.hosts.is_some()
-            || self.terms.is_some()
+    /// Adds what a host lacks that has the versions `held`.
+    fn add_state(&mut self, view: &TrafficView, held: &KnownVersions) {
+        let (own, history) = (&view.versions, &view.history);
+        if own.configuration > held.configuration {
+            self.endpoints = view.endpoints.as_deref().cloned();
+        }
+        if own.instances.replaces(held.instances) {
+            self.instances = ListUpdate::for_digest(
+                held.instances.digest,
+                own.instances.digest,
+                &history.instances,
+                || view.listed_instances.to_vec(),
+            );
+        }
+        if own.hosts.replaces(held.hosts) {
+            self.hosts =
+                ListUpdate::for_digest(held.hosts.digest, own.hosts.digest, &history.hosts, || {
+                    view.listed_hosts.to_vec()
+                });
+        }
+        if own.terms.may_add_to(held.terms) {
+            let terms = || {
+                let terms = view.terms.values();
+                terms
+                    .map(|term| (term.record.clone(), term.version))
+                    .collect()
+            };
+            self.terms =
+                ListUpdate::for_digest(held.terms.digest, own.terms.digest, &history.terms, terms);
+        }
     }
 
     /// Converts the update to control events of this host, which requested it at
     /// `asked_at` with `view`.
     fn into_events(self, asked_at: BootTime, view: &TrafficView) -> Vec<ControlEvent> {
         let mut events = Vec::new();
+        // A run must not extend its leases before it has learnt how it is listed.
+        let knows_hosts =
+            self.hosts.is_some() || !self.versions.hosts.replaces(view.versions.hosts);
         if let Some(hosts) = self.hosts {
-            events.push(ControlEvent::Hosts(hosts.into_list(&view.listed_hosts)));
+            events.push(ControlEvent::Hosts {
+                revision: self.versions.hosts.revision,
+                list: hosts.into_list(&view.listed_hosts),
+            });
         }
         if let Some(instances) = self.instances {
-            let list = instances.into_list(&view.listed_instances);
-            events.push(ControlEvent::Instances(list));
+            events.push(ControlEvent::Instances {
+                revision: self.versions.instances.revision,
+                as_of: None,
+                list: instances.into_list(&view.listed_instances),
+            });
         }
         events.extend(self.endpoints.map(ControlEvent::Endpoints));
-        let Some(age) = self.terms_age else {
-            return events;
-        };
-        // The age was measured after `asked_at`, so this moment is not too late.
-        let as_of = asked_at.before(age);
-        if let Some(terms) = self.terms {
+        // The ages were measured after `asked_at`, so these times are not too late.
+        let mut confirmed = self.ages.before(asked_at);
+        if !knows_hosts {
+            confirmed.terms = None;
+        }
+        if let (Some(terms), Some(as_of)) = (self.terms, confirmed.terms) {
             let records = match terms {
                 ListUpdate::Whole(records) => records,
                 // Terms are never removed.
                 ListUpdate::Changes(changes) => changes.changed,
             };
-            events.push(ControlEvent::Terms { as_of, records });
+            let revision = self.versions.terms.revision;
+            events.push(ControlEvent::Terms {
+                as_of,
+                revision,
+                records,
+            });
         }
         // Extends the leases of unchanged terms too, if the digests agree.
-        events.push(ControlEvent::TermsUnchanged {
-            as_of,
-            digest: self.terms_digest,
+        events.push(ControlEvent::Confirmed {
+            versions: self.versions,
+            confirmed,
         });
         events
     }
 }
 
-/// Answers a long poll as soon as there are changes for the requesting host or
-/// the store is overdue, and at the latest when the wait is over.
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Answers a long poll as soon as there are changes for the requesting host, or
+/// sources that are much later than those that it knows, and at the latest when
+/// the wait is over.
 pub async fn answer_request(context: &SharedContext, request: ViewRequest) -> ViewUpdate {
+    let asked_at = Instant::now();
     let wait = Duration::from_millis(request.wait_ms).min(LONG_POLL_TIME);
-    let deadline = Instant::now() + wait;
+    let deadline = asked_at + wait;
+    let mut held_ages = SourceAges::default();
+    for (age, age_ms) in held_ages.iter_mut().zip(&request.source_ages_ms) {
+        *age = Duration::from_millis(*age_ms).min(LONG_POLL_TIME * 4);
+    }
     loop {
         let listener = context.view.listen();
         let view = context.view.load();
-        let update = ViewUpdate::for_request(context, &view, &request);
-        let is_done = update.has_changes() || !update.is_current;
-        if is_done || Instant::now() >= deadline {
-            return update;
+        let now = Instant::now();
+        let is_done = now >= deadline
+            || view.versions.has_news_for(&request.versions)
+            || (request.wants_state
+                && is_source_news(
+                    context.spreading.source_ages(now),
+                    held_ages,
+                    now.saturating_duration_since(asked_at),
+                ));
+        if is_done {
+            return ViewUpdate::for_request(context, &view, &request);
         }
         context.view.wait(listener, deadline).await;
     }
 }
 
-/// Long-polls the host at `address` with the digests of `view`. Returns the
-/// update and the moment of the request, or nothing if the call failed.
+/// Long-polls the host at `address` with the versions of `view`. Returns nothing
+/// if the call failed.
 pub async fn request_update(
     context: &SharedContext,
     view: &TrafficView,
     address: &str,
     wait: Duration,
-) -> Option<(BootTime, Box<ViewUpdate>)> {
+    wants_state: bool,
+) -> Option<ReceivedUpdate> {
+    let source_ages = context.spreading.source_ages(Instant::now());
     let request = ViewRequest {
-        version: view.endpoints.as_ref().map_or(0, |table| table.version),
-        digests: view.digests,
-        wait_ms: u64::try_from(wait.as_millis()).unwrap_or_default(),
+        versions: view.versions,
+        source_ages_ms: source_ages.into_iter().map(millis).collect(),
+        wait_ms: millis(wait),
+        wants_state,
     };
     let asked_at = BootTime::now();
     let deadline = Instant::now() + wait + LONG_POLL_SLACK;
     let call = ProxyCall::RequestUpdate(request);
     match context.peers.call(address, call, deadline).await {
-        Ok(ProxyReply::Update(update)) => Some((asked_at, update)),
+        Ok(ProxyReply::Update(update)) => Some(ReceivedUpdate { asked_at, update }),
         Ok(_) | Err(_) => None,
     }
 }
 
-/// Sends control the events of an update that was requested at `asked_at` with
-/// `view`.
+/// Records the sources of an update, and sends control its events. It was
+/// requested with `view`.
 pub fn forward_update(
     context: &SharedContext,
     control: &ControlSender,
-    update: ViewUpdate,
-    asked_at: BootTime,
+    received: ReceivedUpdate,
     view: &TrafficView,
 ) {
-    let held = context.view.load().digests;
-    if (held.hosts, held.instances) != (view.digests.hosts, view.digests.instances) {
-        // The lists have changed since the request, so the update cannot be
-        // applied to them. The next poll sends the new digests.
-        return;
-    }
-    for event in update.into_events(asked_at, view) {
-        // Fails only while the process ends.
-        control.send(ControlMessage::Event(event)).ok();
+    let update = received.update;
+    let mut sources = Vec::new();
+    for (host, age_ms) in &update.sources {
+        sources.push((host.clone(), Duration::from_millis(*age_ms)));
     }
+    context.spreading.add_sources(Instant::now(), &sources);
+    let events = update.into_events(received.asked_at, view);
+    // Fails only while the process ends.
+    control.send(ControlMessage::Events(events)).ok();
 }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -8,6 +8,7 @@
 use compact_str::CompactString;
 use fulmarrill_link::serve_links;
 use fulmarrill_position::{DatabaseName, Term};
+use fulmarrill_spread::FeedKind;
 use smol::net::TcpListener;
 use smol::{Executor, Task, Timer};
 
@@ -19,9 +20,8 @@
 use crate::entry::session::serve_caller;
 use crate::peers::{LINK_TIMING, ProxyCall, ProxyProtocol, ProxyReply};
 use crate::records::{RequestCopy, run_record_copies};
-use crate::relay::order::fetch_terms;
-use crate::relay::run_relay;
 use crate::relay::update::answer_request;
+use crate::relay::{fetch_state, run_feed, run_watch_decisions};
 
 /// Time between two rounds of upkeep; idle transactions may end this much late.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
@@ -35,6 +35,8 @@
 pub enum ControlMessage {
     /// An event for the control state.
     Event(ControlEvent),
+    /// Events that are applied in one step.
+    Events(Vec<ControlEvent>),
     /// A request to release a term for good.
     Release {
         /// The database.
@@ -79,18 +81,14 @@
         match messages.recv_timeout(PLAN_INTERVAL) {
             Ok(message) => {
                 let answer = apply_message(&mut state, message);
-                let view = state.view();
-                context.owners.apply_view(&view);
-                context.view.publish(view);
+                publish_view(context, &state);
                 if let Some(answer) = answer {
                     answer.try_send(()).ok();
                 }
             }
             Err(RecvTimeoutError::Timeout) => {
                 if state.expire(Instant::now()) {
-                    let view = state.view();
-                    context.owners.apply_view(&view);
-                    context.view.publish(view);
+                    publish_view(context, &state);
                 }
             }
             Err(RecvTimeoutError::Disconnected) => return,
@@ -107,6 +105,15 @@
     }
 }
 
+fn publish_view(context: &SharedContext, state: &ControlState) {
+    let view = state.view();
+    if view.versions.hosts.digest != context.view.load().versions.hosts.digest {
+        context.spreading.set_hosts(view.listed_hosts.iter());
+    }
+    context.owners.apply_view(&view);
+    context.view.publish(view);
+}
+
 fn apply_message(
     state: &mut ControlState,
     message: ControlMessage,
@@ -116,6 +123,12 @@
             state.handle(Instant::now(), event);
             None
         }
+        ControlMessage::Events(events) => {
+            for event in events {
+                state.handle(Instant::now(), event);
+            }
+            None
+        }
         ControlMessage::Release {
             database,
             term,
@@ -205,7 +218,7 @@
             ProxyReply::Update(Box::new(answer_request(context, request).await))
         }
         ProxyCall::TermWritten => {
-            fetch_terms_from(context, control, from);
+            fetch_state_from(context, control, from);
             ProxyReply::Noted
         }
         ProxyCall::Reach(instance) => {
@@ -217,7 +230,7 @@
             // Fails only while the process ends.
             control.send(ControlMessage::Event(event)).ok();
             // The upstreams of this host may not have that term's record yet.
-            fetch_terms_from(context, control, from);
+            fetch_state_from(context, control, from);
             ProxyReply::Handed
         }
         ProxyCall::Release {
@@ -231,14 +244,14 @@
     }
 }
 
-/// Starts a task that asks the calling host for the terms that it knows.
-fn fetch_terms_from(context: &SharedContext, control: &ControlSender, from: &str) {
+/// Starts a task that fetches what the calling host knows.
+fn fetch_state_from(context: &SharedContext, control: &ControlSender, from: &str) {
     let view = context.view.load();
     let Some(host) = view.host(from) else {
         return;
     };
     let (context, control, address) = (context.clone(), control.clone(), host.address.clone());
-    let fetching = async move { fetch_terms(&context, &control, &address).await };
+    let fetching = async move { fetch_state(&context, &control, &address).await };
     fulmarrill_runtime::spawn(fetching).detach();
 }
 
@@ -283,19 +296,24 @@
     }
 }
 
-/// Starts the listeners, upkeep, record copies and relay of a host.
+/// Starts the listeners, upkeep, record copies and feeds of a host.
 #[must_use]
 pub fn start_traffic(
     context: &SharedContext,
     callers: TcpListener,
     peers: TcpListener,
-    control: ControlSender,
+    control: &ControlSender,
 ) -> Vec<Task<()>> {
-    vec![
+    let mut tasks = vec![
         fulmarrill_runtime::spawn(accept_callers(context.clone(), callers)),
         fulmarrill_runtime::spawn(serve_peers(context.clone(), peers, control.clone())),
         fulmarrill_runtime::spawn(run_upkeep(context.clone(), control.clone())),
         fulmarrill_runtime::spawn(run_record_copies(context.clone())),
-        fulmarrill_runtime::spawn(run_relay(context.clone(), control)),
-    ]
+        fulmarrill_runtime::spawn(run_watch_decisions(context.clone())),
+    ];
+    for kind in FeedKind::ALL {
+        let feed = run_feed(context.clone(), control.clone(), kind);
+        tasks.push(fulmarrill_runtime::spawn(feed));
+    }
+    tasks
 }
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -7,7 +7,8 @@
 use fulmarrill_ownership::rank_hosts;
 use fulmarrill_position::{DatabaseName, Term};
 use fulmarrill_runtime::PublishedCell;
-use serde::{Deserialize, Serialize};
+use fulmarrill_spread::KnownVersions;
+use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::catalogue::{
@@ -15,6 +16,7 @@
     VersionedTerm,
 };
 use crate::clock::BootTime;
+use crate::control::ConfirmedTimes;
 use crate::history::ListHistory;
 
 /// A term record with its version and this host's lease on it.
@@ -41,21 +43,6 @@
     }
 }
 
-/// Digest of a list that was never read; it differs from that of an empty list.
-pub const UNREAD_DIGEST: u64 = 0;
-
-/// Digests of the lists of a view. Two hosts compare them to find out whether
-/// they know the same lists.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ViewDigests {
-    /// Digest of the instances.
-    pub instances: u64,
-    /// Digest of the hosts.
-    pub hosts: u64,
-    /// Digest of the databases and versions of the terms.
-    pub terms: u64,
-}
-
 /// Digest of a value, taken over its JSON form.
 #[must_use]
 pub fn digest_of(value: &impl Serialize) -> u64 {
@@ -88,14 +75,14 @@
     pub leaving: Arc<BTreeMap<HostName, HostEntry>>,
     /// Terms by database.
     pub terms: Arc<BTreeMap<DatabaseName, TermView>>,
-    /// Latest time at which the store is known to have held these terms.
-    pub terms_as_of: Option<BootTime>,
+    /// Latest times at which the store is known to have held these lists.
+    pub confirmed: ConfirmedTimes,
     /// Instances as the store lists them; downstream hosts get these.
     pub listed_instances: Arc<Vec<InstanceEntry>>,
     /// Hosts as the store lists them; downstream hosts get these.
     pub listed_hosts: Arc<Vec<HostEntry>>,
-    /// Digests of the lists in the store.
-    pub digests: ViewDigests,
+    /// Versions of the configuration and of the lists in the store.
+    pub versions: KnownVersions,
     /// Latest changes of these lists.
     pub history: Arc<ViewHistory>,
 }
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -1,11 +1,12 @@
 //! Control state without I/O: holders, leases and reasons to change a primary.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use fulmarrill_proxy::catalogue::{
     DatabaseLimits, EndpointEntry, EndpointTable, HostEntry, InstanceEntry, ReadFreshness,
-    TermRecord,
+    TermRecord, VersionedTerm,
 };
 use fulmarrill_proxy::change::reach::hosts_to_ask;
 use fulmarrill_proxy::clock::BootTime;
@@ -16,6 +17,34 @@
 
 const OWN_RUN: &str = "h1~1";
 
+/// Revision of the next list in a test; each list is newer than the one before it.
+static NEXT_REVISION: AtomicU64 = AtomicU64::new(1000);
+
+fn next_revision() -> u64 {
+    NEXT_REVISION.fetch_add(1, Ordering::Relaxed)
+}
+
+fn hosts_event(list: Vec<HostEntry>) -> ControlEvent {
+    let revision = next_revision();
+    ControlEvent::Hosts { revision, list }
+}
+
+fn instances_event(list: Vec<InstanceEntry>) -> ControlEvent {
+    ControlEvent::Instances {
+        revision: next_revision(),
+        as_of: None,
+        list,
+    }
+}
+
+fn terms_event(as_of: BootTime, records: Vec<VersionedTerm>) -> ControlEvent {
+    ControlEvent::Terms {
+        as_of,
+        revision: next_revision(),
+        records,
+    }
+}
+
 fn host(name: &str, run: &str) -> HostEntry {
     HostEntry {
         name: name.into(),
@@ -65,8 +94,8 @@
             transaction_idle_time: Duration::from_secs(3),
         }),
     );
-    state.handle(now, ControlEvent::Hosts(vec![host("h1", OWN_RUN)]));
-    state.handle(now, ControlEvent::Instances(primary_and_replica()));
+    state.handle(now, hosts_event(vec![host("h1", OWN_RUN)]));
+    state.handle(now, instances_event(primary_and_replica()));
     state
 }
 
@@ -81,7 +110,7 @@
     let mut state = state(now);
     let as_of = BootTime::now();
     let records = vec![(record, 5)];
-    state.handle(now, ControlEvent::Terms { as_of, records });
+    state.handle(now, terms_event(as_of, records));
     (state, as_of)
 }
 
@@ -91,7 +120,7 @@
     let mut state = state(now);
     let as_of = BootTime::now();
     let records = Vec::new();
-    state.handle(now, ControlEvent::Terms { as_of, records });
+    state.handle(now, terms_event(as_of, records));
     assert_eq!(state.plan(now), [ControlAction::QueryTerm("a".into())]);
     let instance = "a".into();
     state.handle(now, ControlEvent::LeaderTerm { instance, term: 3 });
@@ -157,7 +186,7 @@
     assert!(!state.view().terms["orders"].may_use_primary(3, as_of));
     // A later read of the record still lists this run as a holder.
     let records = vec![(record(&[OWN_RUN]), 6)];
-    state.handle(now, ControlEvent::Terms { as_of, records });
+    state.handle(now, terms_event(as_of, records));
     assert!(!state.view().terms["orders"].may_use_primary(3, as_of));
     assert_eq!(state.plan(now), []);
 }
@@ -171,7 +200,7 @@
         leaving: true,
         ..host("h2", "h2~1")
     };
-    state.handle(now, ControlEvent::Hosts(vec![host("h1", OWN_RUN), leaving]));
+    state.handle(now, hosts_event(vec![host("h1", OWN_RUN), leaving]));
     let view = state.view();
     assert!(!view.hosts.contains_key("h2"));
     assert_eq!(view.host("h2").unwrap().run, "h2~1");
@@ -196,12 +225,12 @@
         leaving,
         ..host("h1", OWN_RUN)
     }));
-    state.handle(now, ControlEvent::Hosts(list));
+    state.handle(now, hosts_event(list));
     let later = now + Duration::from_secs(3);
     assert!(state.expire(later));
     assert!(!state.view().terms["orders"].may_use_primary(3, as_of));
     assert_eq!(state.plan(later), [ControlAction::RegisterHost]);
-    state.handle(later, ControlEvent::Hosts(vec![host("h1", OWN_RUN)]));
+    state.handle(later, hosts_event(vec![host("h1", OWN_RUN)]));
     assert!(state.view().terms["orders"].may_use_primary(3, as_of));
 }
 
@@ -211,11 +240,11 @@
 fn briefly_stale_host_list_changes_nothing() {
     let now = Instant::now();
     let (mut state, as_of) = with_term(now, record(&[OWN_RUN]));
-    state.handle(now, ControlEvent::Hosts(vec![host("h2", "h2~1")]));
+    state.handle(now, hosts_event(vec![host("h2", "h2~1")]));
     assert!(state.view().terms["orders"].may_use_primary(3, as_of));
     let later = now + Duration::from_secs(1);
     let list = vec![host("h1", OWN_RUN), host("h2", "h2~1")];
-    state.handle(later, ControlEvent::Hosts(list));
+    state.handle(later, hosts_event(list));
     assert!(!state.expire(now + Duration::from_secs(10)));
     assert!(state.view().terms["orders"].may_use_primary(3, as_of));
 }
@@ -231,7 +260,7 @@
     let mut newer = record(&[OWN_RUN]);
     newer.term = term;
     let records = vec![(newer, version)];
-    state.handle(now, ControlEvent::Terms { as_of, records });
+    state.handle(now, terms_event(as_of, records));
     let expected = ControlAction::ChangePrimary {
         database: "orders".into(),
         version,
@@ -250,16 +279,16 @@
     let mut other = instance("c", DatabaseRole::Replica);
     state.handle(
         now,
-        ControlEvent::Instances(vec![other.clone(), primary_and_replica().remove(0)]),
+        instances_event(vec![other.clone(), primary_and_replica().remove(0)]),
     );
     other.leaving = true;
     state.handle(
         now,
-        ControlEvent::Instances(vec![primary_and_replica().remove(0), other]),
+        instances_event(vec![primary_and_replica().remove(0), other]),
     );
     state.handle(
         now,
-        ControlEvent::Hosts(vec![host("h2", "h2~1"), host("h1", OWN_RUN)]),
+        hosts_event(vec![host("h2", "h2~1"), host("h1", OWN_RUN)]),
     );
     let newer = record(&[OWN_RUN, "h2~1"]);
     let (record, version) = (newer.clone(), 6);
@@ -275,15 +304,23 @@
     let instances = view
         .history
         .instances
-        .since(before.digests.instances)
+        .since(before.versions.instances.digest)
         .unwrap();
     assert_eq!(
         instances.apply(&before.listed_instances),
         *view.listed_instances
     );
-    let hosts = view.history.hosts.since(before.digests.hosts).unwrap();
+    let hosts = view
+        .history
+        .hosts
+        .since(before.versions.hosts.digest)
+        .unwrap();
     assert_eq!(hosts.apply(&before.listed_hosts), *view.listed_hosts);
-    let terms = view.history.terms.since(before.digests.terms).unwrap();
+    let terms = view
+        .history
+        .terms
+        .since(before.versions.terms.digest)
+        .unwrap();
     assert_eq!(terms.changed, [(newer, version)]);
 }
 
@@ -302,7 +339,7 @@
     let mut older = record(&[OWN_RUN]);
     older.term = 2;
     let records = vec![(older, 4)];
-    state.handle(now, ControlEvent::Terms { as_of, records });
+    state.handle(now, terms_event(as_of, records));
     assert_eq!(state.view().terms["orders"].record.term, 3);
 }
 
@@ -312,7 +349,7 @@
     let (mut state, _) = with_term(now, record(&[OWN_RUN]));
     let mut list = primary_and_replica();
     list[0].leaving = true;
-    state.handle(now, ControlEvent::Instances(list));
+    state.handle(now, instances_event(list));
     let expected = ControlAction::ChangePrimary {
         database: "orders".into(),
         version: 5,
@@ -325,10 +362,7 @@
 fn primary_with_expired_entry_is_kept_for_a_grace_time() {
     let now = Instant::now();
     let (mut state, _) = with_term(now, record(&[OWN_RUN]));
-    state.handle(
-        now,
-        ControlEvent::Instances(vec![primary_and_replica().remove(1)]),
-    );
+    state.handle(now, instances_event(vec![primary_and_replica().remove(1)]));
     assert_eq!(state.plan(now), []);
     assert!(state.view().primary("orders").is_some());
     let later = now + Duration::from_secs(3);
@@ -340,7 +374,7 @@
             ..
         }]
     ));
-    state.handle(later, ControlEvent::Instances(primary_and_replica()));
+    state.handle(later, instances_event(primary_and_replica()));
     assert_eq!(state.plan(later), []);
 }
 
@@ -350,10 +384,7 @@
 fn expired_replica_is_removed_while_events_arrive() {
     let now = Instant::now();
     let (mut state, _) = with_term(now, record(&[OWN_RUN]));
-    state.handle(
-        now,
-        ControlEvent::Instances(vec![primary_and_replica().remove(0)]),
-    );
+    state.handle(now, instances_event(vec![primary_and_replica().remove(0)]));
     assert!(state.view().instances.contains_key("b"));
     let later = now + Duration::from_secs(3);
     state.handle(later, ControlEvent::InstancesDown(BTreeSet::new()));
@@ -394,7 +425,7 @@
     let (mut state, _) = with_term(now, held);
     state.handle(
         now,
-        ControlEvent::Hosts(vec![host("h1", OWN_RUN), host("h2", "h2~1")]),
+        hosts_event(vec![host("h1", OWN_RUN), host("h2", "h2~1")]),
     );
     let database = "orders".into();
     state.handle(now, ControlEvent::ChangeHandedOver { database, term });
@@ -411,7 +442,7 @@
         other.data_centre = format!("centre-{}", index % 4).into();
         hosts.push(other);
     }
-    state.handle(now, ControlEvent::Hosts(hosts));
+    state.handle(now, hosts_event(hosts));
     let view = state.view();
     let mut asked = BTreeMap::new();
     for asked_host in hosts_to_ask(&view, "a") {
--- a/crates/proxy/tests/leases.rs
+++ b/crates/proxy/tests/leases.rs
@@ -104,9 +104,9 @@
     }
 }
 
-/// An answer of the store that is not delivered yet: moment of the request, hosts,
-/// record and its version.
-type PendingAnswer = (BootTime, Vec<HostEntry>, TermRecord, ObjectVersion);
+/// An answer of the store that is not delivered yet: moment of the request,
+/// revision, hosts, record and its version.
+type PendingAnswer = (BootTime, u64, Vec<HostEntry>, TermRecord, ObjectVersion);
 
 struct ClusterModel {
     fault: InjectedFault,
@@ -122,6 +122,8 @@
     /// When every lease on that term has expired.
     leases_expire_at: BootTime,
     promotions: usize,
+    /// Revision of the store at the last answer.
+    revision: u64,
     started_at: (BootTime, Instant),
 }
 
@@ -148,6 +150,7 @@
             awaited_holders: BTreeSet::new(),
             leases_expire_at: now,
             promotions: 0,
+            revision: 0,
             started_at: (now, Instant::now()),
         }
     }
@@ -155,7 +158,9 @@
     fn apply(&mut self, step: Step) {
         match step {
             Step::Ask(host) => {
-                let answer = (self.now, self.list(), self.record.clone(), self.version);
+                self.revision += 1;
+                let (list, record) = (self.list(), self.record.clone());
+                let answer = (self.now, self.revision, list, record, self.version);
                 self.answers[host].push_back(answer);
             }
             Step::Mark(host) => {
@@ -227,7 +232,8 @@
     }
 
     fn deliver(&mut self, host: usize) {
-        let Some((asked_at, list, record, version)) = self.answers[host].pop_front() else {
+        let Some((asked_at, revision, list, record, version)) = self.answers[host].pop_front()
+        else {
             return;
         };
         let as_of = if self.fault == InjectedFault::LeaseFromAnswer {
@@ -237,10 +243,17 @@
         };
         let now = self.instant();
         if self.fault != InjectedFault::IgnoresHostList {
-            self.hosts[host].handle(now, ControlEvent::Hosts(list));
+            self.hosts[host].handle(now, ControlEvent::Hosts { revision, list });
         }
         let records = vec![(record, version)];
-        self.hosts[host].handle(now, ControlEvent::Terms { as_of, records });
+        self.hosts[host].handle(
+            now,
+            ControlEvent::Terms {
+                as_of,
+                revision,
+                records,
+            },
+        );
     }
 
     fn release(&mut self, host: usize, is_delivered: bool) {
