Find the position for a read where its instance is owned, and index routes

Cause: each entry asked for a primary's position of this moment before nearly every read of bounded age, since an entry of 295 sees a database about once in two seconds, and replicas with a lag of 150 ms refused it as not reached. Each statement also ranked all hosts and went through all instances, and each plan of control ranked all hosts for each database.

Change: the work carries the allowed age and the session's own commit; the owner of the instance, which sees all its reads, finds the position. Owners of an instance and instances of a database are computed once a change of the lists.

--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -385,7 +385,6 @@
         let mut holders = Vec::new();
         for host in view
             .owner_candidates(chosen, region)
-            .into_iter()
             .take(PREFERRED_HOLDERS)
         {
             holders.push(host.run.clone());
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -21,6 +21,7 @@
 use crate::clock::BootTime;
 use crate::control::plan::ChangeReason;
 use crate::history::ListChanges;
+use crate::view::routes::RouteIndex;
 use crate::view::{TermView, TrafficView, ViewHistory, digest_of};
 
 /// Time for which a host may use a primary after it asked the store for the
@@ -142,6 +143,7 @@
     instances: Arc<BTreeMap<InstanceId, InstanceEntry>>,
     hosts: Arc<BTreeMap<HostName, HostEntry>>,
     leaving_hosts: Arc<BTreeMap<HostName, HostEntry>>,
+    routes: Arc<RouteIndex>,
     /// How the store lists this run.
     listing: OwnListing,
     terms: BTreeMap<DatabaseName, TermView>,
@@ -181,6 +183,7 @@
             instances: Arc::default(),
             hosts: Arc::new(hosts),
             leaving_hosts: Arc::default(),
+            routes: Arc::default(),
             listing: OwnListing::default(),
             terms: BTreeMap::new(),
             leader_terms: BTreeMap::new(),
@@ -208,6 +211,7 @@
             instances: self.instances.clone(),
             hosts: self.hosts.clone(),
             leaving: self.leaving_hosts.clone(),
+            routes: self.routes.clone(),
             terms: Arc::new(self.terms.clone()),
             confirmed: self.confirmed,
             listed_instances: self.listed_instances.clone(),
@@ -258,6 +262,7 @@
             ControlEvent::Leave => {
                 self.leaving = true;
                 Arc::make_mut(&mut self.hosts).remove(&self.own.name);
+                self.index_routes();
             }
             ControlEvent::Terms {
                 as_of,
@@ -341,7 +346,10 @@
                 self.missing_since.remove(id);
             }
         }
-        self.instances = Arc::new(instances);
+        if *self.instances != instances {
+            self.instances = Arc::new(instances);
+            self.index_routes();
+        }
         true
     }
 
@@ -375,8 +383,15 @@
             leaving.remove(&self.own.name);
             hosts.insert(self.own.name.clone(), self.own.clone());
         }
-        self.hosts = Arc::new(hosts);
         self.leaving_hosts = Arc::new(leaving);
+        if *self.hosts != hosts {
+            self.hosts = Arc::new(hosts);
+            self.index_routes();
+        }
+    }
+
+    fn index_routes(&mut self) {
+        self.routes = Arc::new(RouteIndex::new(&self.hosts, &self.instances));
     }
 
     /// Updates how this run is listed. The list may come from a host that is
@@ -471,6 +486,9 @@
             self.missing_since.remove(id);
             Arc::make_mut(&mut self.instances).remove(id);
         }
+        if !gone.is_empty() {
+            self.index_routes();
+        }
         has_changed || !gone.is_empty()
     }
 
--- a/crates/proxy/src/control/plan.rs
+++ b/crates/proxy/src/control/plan.rs
@@ -2,12 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use fulmarrill_ownership::rank_hosts;
 use fulmarrill_position::DatabaseName;
 
-use crate::catalogue::{HostName, InstanceEntry, InstanceId, ObjectVersion, TermRecord};
+use crate::catalogue::{InstanceEntry, InstanceId, ObjectVersion, TermRecord};
 use crate::codec::DatabaseRole;
 use crate::control::{ControlState, MISSING_GRACE_TIME, OwnListing};
+use crate::view::routes::rank_of;
 use crate::view::{TermView, TrafficView};
 
 /// Time after which a change of primary that a listed run began counts as
@@ -62,22 +62,21 @@
 }
 
 impl ControlState {
-    /// Index of this host among the preferred owners of an instance.
+    /// Index of this host among the preferred owners of an instance; a large number
+    /// if it is none of the first ones.
     fn owner_index(&self, view: &TrafficView, instance: &InstanceEntry) -> usize {
         let region = self.regions.get(&instance.data_centre);
-        view.owner_candidates(instance, region.map(compact_str::CompactString::as_str))
-            .iter()
-            .position(|host| host.name == self.own.name)
+        let region = region.map(compact_str::CompactString::as_str);
+        let owners = view.routes.preferred_owners(instance, region).iter();
+        let mut names = owners.map(|host| &host.name);
+        names
+            .position(|name| *name == self.own.name)
             .unwrap_or(usize::MAX)
     }
 
     /// Index of this host in the election order of a database.
     fn election_index(&self, database: &str) -> usize {
-        let names = self.hosts.keys().map(HostName::as_str);
-        rank_hosts(database, names)
-            .iter()
-            .position(|name| *name == self.own.name)
-            .unwrap_or(usize::MAX)
+        rank_of(database, &self.hosts, &self.own.name)
     }
 
     /// Plans the actions that are due at `now`.
@@ -117,8 +116,11 @@
         term: &TermView,
     ) -> Option<(ChangeReason, Duration)> {
         let record = &term.record;
-        let index = u32::try_from(self.election_index(&record.database)).unwrap_or(u32::MAX);
-        let election_delay = ELECTION_STEP * index.min(MAX_ELECTION_STEPS);
+        // Computed only while there is a reason, since it depends on all hosts.
+        let election_delay = || {
+            let index = u32::try_from(self.election_index(&record.database)).unwrap_or(u32::MAX);
+            ELECTION_STEP * index.min(MAX_ELECTION_STEPS)
+        };
         if let Some(run) = &record.changed_by {
             let mut listed = self.hosts.values().chain(self.leaving_hosts.values());
             let is_listed = listed.any(|host| host.run == *run);
@@ -127,15 +129,16 @@
             } else {
                 Duration::ZERO
             };
-            return Some((ChangeReason::Abandoned, wait + election_delay));
+            return Some((ChangeReason::Abandoned, wait + election_delay()));
         }
         if let Some(since) = self.missing_since.get(&record.primary) {
             let waited = now.saturating_duration_since(*since);
-            return (waited >= MISSING_GRACE_TIME).then_some((ChangeReason::Gone, election_delay));
+            let is_gone = waited >= MISSING_GRACE_TIME;
+            return is_gone.then(|| (ChangeReason::Gone, election_delay()));
         }
         let instance = self.instances.get(&record.primary)?;
         if instance.leaving {
-            return Some((ChangeReason::Leaving, election_delay));
+            return Some((ChangeReason::Leaving, election_delay()));
         }
         if self.down_instances.contains(&record.primary) {
             let index = u32::try_from(self.owner_index(view, instance)).unwrap_or(u32::MAX);
@@ -214,7 +217,6 @@
             let mut holders = Vec::new();
             for host in view
                 .owner_candidates(instance, region)
-                .into_iter()
                 .take(PREFERRED_HOLDERS)
             {
                 holders.push(host.run.clone());
--- a/crates/proxy/src/entry/reads.rs
+++ b/crates/proxy/src/entry/reads.rs
@@ -1,4 +1,5 @@
-//! Runs reads that a replica may serve, and decides how fresh it must be.
+//! Runs reads that a replica may serve: chooses the instance, and finds the
+//! position that proves how old its data is.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -6,7 +7,6 @@
 use fulmarrill_position::{DatabaseName, LogPoint};
 use fulmarrill_runtime::timeout_at;
 
-use crate::catalogue::ReadFreshness;
 use crate::clock::BootTime;
 use crate::context::SharedContext;
 use crate::entry::lock;
@@ -38,39 +38,45 @@
 /// Shared handle of a query.
 pub type SharedQuery = Arc<PositionQuery>;
 
-/// Returns the position that an instance must have reached to serve a read;
-/// `None` if the read has to run at the primary.
-pub async fn read_floor(
+/// Runs work of the host `from` at an instance that this host owns. For a read of
+/// bounded age it first finds the position that a replica must have reached. All
+/// reads of the instance pass here, so positions are queried once for many of them,
+/// and a query rarely delays one.
+pub async fn run_owned(
+    context: &SharedContext,
+    from: &str,
+    mut request: WorkRequest,
+) -> WorkAnswer {
+    if let Some(max_age) = request.max_age {
+        let point = fresh_point(context, &request.database, max_age, request.deadline).await;
+        let Some(point) = point else {
+            return WorkAnswer::NotRun(NotRunReason::AgeUnknown);
+        };
+        request.after = request.after.max(Some(point));
+    }
+    context.owners.run(from, request).await
+}
+
+/// Returns a position that covers every commit acknowledged longer than `age` ago.
+async fn fresh_point(
     context: &SharedContext,
     database: &DatabaseName,
-    freshness: ReadFreshness,
-    own: LogPoint,
+    age: Duration,
     deadline: Instant,
 ) -> Option<LogPoint> {
-    let (age, own) = match freshness {
-        ReadFreshness::Latest => return None,
-        ReadFreshness::Aged(age) => (age, LogPoint::default()),
-        ReadFreshness::AgedWithOwn(age) => (age, own),
-    };
+    // The work reached its entry before it arrived here, so the age counts from a
+    // later moment than it has to.
     let arrived_at = BootTime::now();
-    // The allowed age counts back from the arrival of the read. A position covers
-    // the commits acknowledged up to a moment before it was received.
     let oldest = arrived_at.before(age);
-    let known = context.entry.position_since(database, oldest);
-    let point = if let Some(point) = known {
+    if let Some(point) = context.entry.position_since(database, oldest) {
         refresh_ahead(context, database, arrived_at.before(age / 2));
-        point
-    } else {
-        let until = deadline.min(Instant::now() + POSITION_QUERY_TIMEOUT);
-        // Boxed, because most reads send no query.
-        let asking = Box::pin(query_position(context, database));
-        let (as_of, point) = timeout_at(until, asking).await.ok()??;
-        if as_of < oldest {
-            return None;
-        }
-        point
-    };
-    Some(own.max(point))
+        return Some(point);
+    }
+    let until = deadline.min(Instant::now() + POSITION_QUERY_TIMEOUT);
+    // Boxed, because most reads send no query.
+    let asking = Box::pin(query_position(context, database));
+    let (as_of, point) = timeout_at(until, asking).await.ok()??;
+    (as_of >= oldest).then_some(point)
 }
 
 /// Queries a newer position in the background if none is known that covers the
@@ -143,16 +149,13 @@
 
 /// Runs a read, or the first statement of a read-only transaction, on the
 /// instance that is expected to answer first, and retries on others.
-pub async fn run_read(
-    context: &SharedContext,
-    request: WorkRequest,
-    floor: Option<LogPoint>,
-) -> RoutedAnswer {
+pub async fn run_read(context: &SharedContext, request: WorkRequest) -> RoutedAnswer {
     let mut result = None;
+    let mut is_age_unknown = false;
     for attempt in 0..=MAX_REPLICA_TRIES {
         let view = context.view.load();
         let primary = view.primary(&request.database);
-        let at_primary = floor.is_none() || attempt == MAX_REPLICA_TRIES;
+        let at_primary = is_age_unknown || attempt == MAX_REPLICA_TRIES;
         let mut candidates = Vec::new();
         for instance in view.instances_of(&request.database) {
             let is_primary = primary.is_some_and(|(primary, _)| primary.id == instance.id);
@@ -178,9 +181,17 @@
         let mut request = request.clone();
         request.instance = chosen.id.clone();
         request.primary_term = term;
-        request.after = if term.is_some() { None } else { floor };
+        if term.is_some() {
+            // The primary's data has no age.
+            (request.max_age, request.after) = (None, None);
+        }
         let routed = send_work(context, &view, chosen, request.clone()).await;
         let avoid_time = match &routed.answer {
+            WorkAnswer::NotRun(NotRunReason::AgeUnknown) => {
+                // No replica can be used until the primary's position is known.
+                is_age_unknown = true;
+                Duration::ZERO
+            }
             WorkAnswer::NotRun(NotRunReason::Behind) => BEHIND_BACKOFF,
             WorkAnswer::NotRun(NotRunReason::Overload) => OVERLOAD_BACKOFF,
             WorkAnswer::NotRun(_) | WorkAnswer::Unknown => UNREACHABLE_BACKOFF,
--- a/crates/proxy/src/entry/router.rs
+++ b/crates/proxy/src/entry/router.rs
@@ -7,6 +7,7 @@
 use crate::catalogue::{HostName, InstanceEntry, InstanceId};
 use crate::clock::BootTime;
 use crate::context::SharedContext;
+use crate::entry::reads::run_owned;
 use crate::peers::{ProxyCall, ProxyReply};
 use crate::view::TrafficView;
 use crate::work::{NotRunReason, WorkAnswer, WorkRequest, WorkStep};
@@ -115,7 +116,7 @@
     let answer = if host == context.place.host {
         // Boxed, so that the future of a session that waits for another host
         // stays small.
-        Box::pin(context.owners.run(host, request)).await
+        Box::pin(run_owned(context, host, request)).await
     } else {
         // A refusal by the owner must arrive before the caller's deadline.
         request.deadline = deadline.checked_sub(REPLY_MARGIN).unwrap_or(deadline);
--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -15,7 +15,7 @@
 use crate::catalogue::{EndpointEntry, HostName, InstanceId, ReadFreshness};
 use crate::codec::{CallerMessage, CallerReply, CodecError, ErrorKind};
 use crate::context::SharedContext;
-use crate::entry::reads::{read_floor, run_read};
+use crate::entry::reads::run_read;
 use crate::entry::router::{RoutedAnswer, send_to_host, send_work};
 use crate::records::EndedRequest;
 use crate::report::{StatementReport, StatementStart};
@@ -411,6 +411,7 @@
             deadline: Instant::now() + self.endpoint.statement_time,
             values: self.values.clone(),
             after: None,
+            max_age: None,
             customer: self.customer.clone(),
             step,
             statement,
@@ -462,19 +463,24 @@
 
     /// Runs a statement outside any transaction, or the first of one.
     async fn run_first(&self, request: WorkRequest, reads_only: bool) -> RoutedAnswer {
-        let freshness = self.endpoint.freshness;
-        if !reads_only || freshness == ReadFreshness::Latest {
+        let (max_age, after) = match self.endpoint.freshness {
+            _ if !reads_only => (None, None),
+            ReadFreshness::Latest => (None, None),
+            ReadFreshness::Aged(age) => (Some(age), None),
+            ReadFreshness::AgedWithOwn(age) => {
+                let own = self.own_commits.floor(&request.database);
+                (Some(age), Some(own))
+            }
+        };
+        if max_age.is_none() {
             return run_at_primary(&self.context, request, reads_only).await;
         }
-        let floor = read_floor(
-            &self.context,
-            &request.database,
-            freshness,
-            self.own_commits.floor(&request.database),
-            request.deadline,
-        );
-        let floor = floor.await;
-        run_read(&self.context, request, floor).await
+        let read = WorkRequest {
+            after,
+            max_age,
+            ..request
+        };
+        run_read(&self.context, read).await
     }
 
     /// Logs and records the outcome of a statement and replies to the caller.
@@ -607,6 +613,7 @@
             NotRunReason::Overload => (ErrorKind::Busy, "too much work waits"),
             NotRunReason::NotPrimary => (ErrorKind::Busy, "the primary is being replaced"),
             NotRunReason::Behind => (ErrorKind::Behind, "no instance is fresh enough"),
+            NotRunReason::AgeUnknown => (ErrorKind::Behind, "the age of replicas is unknown"),
             NotRunReason::Unreachable => (ErrorKind::Busy, "the instance cannot be reached"),
             NotRunReason::NoOwner => (ErrorKind::Busy, "the owner cannot be reached"),
             NotRunReason::TransactionLost => {
--- a/crates/proxy/src/peers/wire.rs
+++ b/crates/proxy/src/peers/wire.rs
@@ -83,6 +83,8 @@
     values: BTreeMap<CompactString, CompactString>,
     #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
     after: Option<WirePoint>,
+    #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
+    max_age: Option<u64>,
     #[serde(rename = "u", default)]
     customer: CompactString,
     #[serde(rename = "s")]
@@ -101,6 +103,7 @@
             time_left: millis(request.deadline.saturating_duration_since(Instant::now())),
             values: Arc::unwrap_or_clone(request.values),
             after: request.after.map(to_wire),
+            max_age: request.max_age.map(millis),
             customer: request.customer,
             step: match request.step {
                 WorkStep::Single => WireStep::Single,
@@ -131,6 +134,7 @@
             deadline: Instant::now() + from_millis(wire.time_left),
             values: Arc::new(wire.values),
             after: wire.after.map(from_wire),
+            max_age: wire.max_age.map(from_millis),
             customer: wire.customer,
             step: match wire.step {
                 WireStep::Single => WorkStep::Single,
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -17,6 +17,7 @@
 use crate::context::SharedContext;
 use crate::control::plan::ControlAction;
 use crate::control::{ControlEvent, ControlState};
+use crate::entry::reads::run_owned;
 use crate::entry::session::serve_caller;
 use crate::peers::{LINK_TIMING, ProxyCall, ProxyProtocol, ProxyReply};
 use crate::records::{RequestCopy, run_record_copies};
@@ -195,7 +196,7 @@
     match call {
         ProxyCall::Run(request) => {
             let copy = RequestCopy::new(&request);
-            let answer = context.owners.run(from, *request).await;
+            let answer = run_owned(context, from, *request).await;
             // For a host that is not listed yet no copy of its records is kept here.
             if let Some(host) = context.view.load().host(from) {
                 context
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -1,10 +1,11 @@
 //! The immutable snapshot that traffic is routed by; the control thread replaces
 //! it.
 
+pub mod routes;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use fulmarrill_ownership::rank_hosts;
 use fulmarrill_position::{DatabaseName, Term};
 use fulmarrill_runtime::PublishedCell;
 use fulmarrill_spread::KnownVersions;
@@ -18,6 +19,7 @@
 use crate::clock::BootTime;
 use crate::control::ConfirmedTimes;
 use crate::history::ListHistory;
+use crate::view::routes::{RouteIndex, all_candidates};
 
 /// A term record with its version and this host's lease on it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -73,6 +75,8 @@
     /// Hosts that are leaving, by name; they only finish the work they have
     /// begun.
     pub leaving: Arc<BTreeMap<HostName, HostEntry>>,
+    /// Instances by database and owners by instance.
+    pub routes: Arc<RouteIndex>,
     /// Terms by database.
     pub terms: Arc<BTreeMap<DatabaseName, TermView>>,
     /// Latest times at which the store is known to have held these lists.
@@ -95,13 +99,9 @@
     }
 
     /// The instances of a database.
-    pub fn instances_of<'a>(
-        &'a self,
-        database: &'a str,
-    ) -> impl Iterator<Item = &'a InstanceEntry> {
-        self.instances
-            .values()
-            .filter(move |instance| instance.database == database)
+    pub fn instances_of<'a>(&'a self, database: &str) -> impl Iterator<Item = &'a InstanceEntry> {
+        let ids = self.routes.instances_of(database).iter();
+        ids.filter_map(|id| self.instances.get(id))
     }
 
     /// The primary of a database and its term; `None` while the term is being
@@ -118,24 +118,20 @@
 
     /// Hosts that take new work, in order of preference as owner of an instance:
     /// those of its data centre first, then those of its region, then all
-    /// others. `region` is the region of the instance.
-    #[must_use]
-    pub fn owner_candidates(
-        &self,
+    /// others. `region` is the region of the instance. The order of all hosts is
+    /// computed only if the first few are not enough.
+    pub fn owner_candidates<'a>(
+        &'a self,
         instance: &InstanceEntry,
         region: Option<&str>,
-    ) -> Vec<&HostEntry> {
-        let names = self.hosts.keys().map(HostName::as_str);
-        let mut ranked: Vec<&HostEntry> = Vec::new();
-        for name in rank_hosts(&instance.id, names) {
-            ranked.extend(self.hosts.get(name));
-        }
-        ranked.sort_by_key(|host| {
-            let same_data_centre = host.data_centre == instance.data_centre;
-            let same_region = region.is_some_and(|region| host.region == region);
-            (!same_data_centre, !same_region)
+    ) -> impl Iterator<Item = &'a HostEntry> {
+        let preferred = self.routes.preferred_owners(instance, region);
+        let (instance, region) = (instance.clone(), region.map(str::to_owned));
+        let others = std::iter::once_with(move || {
+            let all = all_candidates(&self.hosts, &instance, region.as_deref());
+            all.into_iter().skip(preferred.len())
         });
-        ranked
+        preferred.iter().chain(others.flatten())
     }
 }
 
--- a/crates/proxy/src/work.rs
+++ b/crates/proxy/src/work.rs
@@ -1,6 +1,6 @@
 //! Requests that an entry sends to the owner of an instance, and their answers.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use compact_str::{CompactString, format_compact};
 use fulmarrill_position::{DatabaseName, LogPoint, Term};
@@ -110,6 +110,10 @@
     pub values: SessionValues,
     /// Position that the instance's log must have reached.
     pub after: Option<LogPoint>,
+    /// Greatest age of the data that a replica may read, counted from the arrival
+    /// of the work; `None` for work that does not depend on the age. The owner's
+    /// host finds the position that proves it.
+    pub max_age: Option<Duration>,
     /// Customer on whose behalf it runs.
     pub customer: CompactString,
     /// Relation to a transaction.
@@ -127,6 +131,8 @@
     NotPrimary,
     /// The instance's log has not reached the position.
     Behind,
+    /// The owner's host knows no position that proves the age of a replica's data.
+    AgeUnknown,
     /// The owner cannot reach the instance.
     Unreachable,
     /// The owner cannot be reached.
--- a/crates/proxy/tests/records.rs
+++ b/crates/proxy/tests/records.rs
@@ -32,6 +32,7 @@
         deadline: Instant::now(),
         values: SessionValues::default(),
         after: None,
+        max_age: None,
         customer: "stall-7".into(),
         step: WorkStep::Single,
         statement: WorkStatement::Text {
