--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Mutex;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -12,6 +12,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request};
+use rustix::net::sockopt;
 use smol::Timer;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
@@ -19,6 +20,21 @@
 
 use crate::server::HttpResponse;
 
+/// Time without a received packet after which a connection is probed, and between
+/// two probes; whole seconds.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Unanswered probes after which a connection counts as lost.
+const KEEP_ALIVE_PROBES: u32 = 2;
+
+/// Lets the operating system end a connection that has gone silent, so that a long
+/// poll on it fails before its deadline.
+fn enable_keep_alive(stream: &TcpStream) -> rustix::io::Result<()> {
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, KEEP_ALIVE_INTERVAL)?;
+    sockopt::set_tcp_keepintvl(stream, KEEP_ALIVE_INTERVAL)?;
+    sockopt::set_tcp_keepcnt(stream, KEEP_ALIVE_PROBES)
+}
+
 /// Why a request got no response.
 ///
 /// After [`HttpError::Connection`] and [`HttpError::TimedOut`] the server may
@@ -139,6 +155,9 @@
             .map_err(|error| failed(io::Error::other(error)))?;
         let stream = TcpStream::connect(address).await.map_err(failed)?;
         stream.set_nodelay(true).ok();
+        if let Err(error) = enable_keep_alive(&stream) {
+            log::warn!("{address}: keep-alive probes cannot be enabled: {error}");
+        }
         let (sender, connection) = handshake(FuturesIo::new(stream))
             .await
             .map_err(|error| HttpError::Connection(self.address.clone(), error))?;
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -79,9 +79,20 @@
         stats.outstanding = stats.outstanding.saturating_sub(1);
         if let Some(time) = served {
             stats.record_latency(time);
+            stats.times_behind = 0;
         }
     }
 
+    /// Records that an instance was behind. Returns how many times in a row it had
+    /// been before.
+    pub fn record_behind(&self, instance: &InstanceId) -> u32 {
+        let mut instance_stats = lock(&self.instance_stats);
+        let stats = instance_stats.entry(instance.clone()).or_default();
+        let times = stats.times_behind;
+        stats.times_behind = times.saturating_add(1);
+        times
+    }
+
     /// Avoids an instance in reads until `until`.
     pub fn avoid(&self, instance: &InstanceId, until: Instant) {
         lock(&self.instance_stats)
--- a/crates/proxy/src/entry/placement.rs
+++ b/crates/proxy/src/entry/placement.rs
@@ -32,6 +32,8 @@
     /// Until when the instance is avoided, after it did not run work or left its
     /// outcome unknown.
     pub avoid_until: Option<Instant>,
+    /// How many times in a row the instance was behind.
+    pub times_behind: u32,
 }
 
 impl Default for InstanceStats {
@@ -40,6 +42,7 @@
             mean_latency_s: INITIAL_LATENCY_S,
             outstanding: 0,
             avoid_until: None,
+            times_behind: 0,
         }
     }
 }
--- a/crates/proxy/src/entry/reads.rs
+++ b/crates/proxy/src/entry/reads.rs
@@ -17,9 +17,12 @@
 
 /// Timeout of a query for the primary's position.
 const POSITION_QUERY_TIMEOUT: Duration = Duration::from_millis(600);
-/// Time for which an instance that was behind is avoided: several times the usual
-/// lag of a replica.
+/// Time for which an instance that was behind is avoided for the first time: the
+/// usual lag of a replica.
 const BEHIND_BACKOFF: Duration = Duration::from_millis(150);
+/// Longest time for which an instance is avoided that was behind several times in a
+/// row. An entry sees a database only now and then, so a shorter one has no effect.
+const BEHIND_BACKOFF_MAX: Duration = Duration::from_secs(2);
 /// Time for which an instance is avoided that could not be reached, did not run
 /// the work for another reason, or left its outcome unknown.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(700);
@@ -192,7 +195,11 @@
                 is_age_unknown = true;
                 Duration::ZERO
             }
-            WorkAnswer::NotRun(NotRunReason::Behind) => BEHIND_BACKOFF,
+            WorkAnswer::NotRun(NotRunReason::Behind) => {
+                let times = context.entry.record_behind(&chosen.id);
+                let factor = 1 << (2 * times.min(4));
+                (BEHIND_BACKOFF * factor).min(BEHIND_BACKOFF_MAX)
+            }
             WorkAnswer::NotRun(NotRunReason::Overload) => OVERLOAD_BACKOFF,
             WorkAnswer::NotRun(_) | WorkAnswer::Unknown => UNREACHABLE_BACKOFF,
             _ => return routed,
--- a/crates/proxy/src/owner.rs
+++ b/crates/proxy/src/owner.rs
@@ -7,6 +7,8 @@
 pub mod monitor;
 pub mod pool;
 pub mod position;
+pub mod progress;
+pub mod refusals;
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -192,6 +194,9 @@
             owner.drop_pins(|pinned| now >= pinned.idle_since + table.transaction_idle_time);
             owner.trim(now);
             owner.shed(now);
+            if let Some(counts) = owner.refusals().take_due(now) {
+                log::info!("instance {} refused to run: {counts:?}", owner.id());
+            }
             if owner.monitor().begin_probe(now) {
                 fulmarrill_runtime::spawn(async move { owner.probe().await }).detach();
             }
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -17,6 +17,8 @@
 use crate::owner::connection::{ConnectionError, DatabaseAnswer};
 use crate::owner::monitor::InstanceMonitor;
 use crate::owner::pool::{ConnectionPool, PoolLease};
+use crate::owner::progress::LogProgress;
+use crate::owner::refusals::RefusalTally;
 use crate::statement::TransactionState;
 use crate::work::{NotRunReason, PinId, WorkAnswer, WorkRequest, WorkStatement, WorkStep};
 
@@ -81,9 +83,17 @@
     next_pin: AtomicU64,
     served: AtomicU64,
     monitor: InstanceMonitor,
+    refusals: RefusalTally,
+    progress: Mutex<LogProgress>,
 }
 
 impl InstanceOwner {
+    /// Returns the tally of what the instance refused to run.
+    #[must_use]
+    pub fn refusals(&self) -> &RefusalTally {
+        &self.refusals
+    }
+
     /// Returns the monitor of the instance's answers.
     #[must_use]
     pub fn monitor(&self) -> &InstanceMonitor {
@@ -107,6 +117,8 @@
             next_pin: AtomicU64::new(fastrand::u64(..) >> 1),
             served: AtomicU64::new(0),
             monitor: InstanceMonitor::new(),
+            refusals: RefusalTally::default(),
+            progress: Mutex::default(),
             instance,
         }
     }
@@ -135,6 +147,10 @@
         self.pins.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn progress(&self) -> MutexGuard<'_, LogProgress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether a connection is in use or work waits for a slot.
     #[must_use]
     pub fn is_used(&self) -> bool {
@@ -239,6 +255,12 @@
         if starts && (monitor.health().is_down(now) || monitor.is_stalled(now)) {
             return OwnerReport::not_run(NotRunReason::Unreachable);
         }
+        if starts
+            && let Some(floor) = request.after
+            && !self.progress().should_send(floor, now)
+        {
+            return OwnerReport::not_run(NotRunReason::Behind);
+        }
         match request.step {
             WorkStep::Continue(pin) => self.run_step(from, &request, pin, may_use_primary).await,
             WorkStep::Single => self.run_first(from, &request, None, may_use_primary).await,
@@ -393,6 +415,10 @@
         let Some(last) = answers.pop() else {
             return OwnerReport::not_run(NotRunReason::Overload);
         };
+        // Inside a transaction the position may be that of its snapshot.
+        if let (Some(point), true) = (last.point, last.state != TransactionState::Open) {
+            self.progress().record(point, Instant::now());
+        }
         let sent_at = Some(sent_at);
         if failure.is_some() && last.outcome.is_ok() {
             // The statement ran although a command that it depends on failed.
@@ -404,6 +430,7 @@
             return OwnerReport { answer, sent_at };
         }
         if let Some((kind, text)) = failure {
+            self.refusals.record(kind);
             if kind == ErrorKind::NotPrepared {
                 lease.get().forget_prepared();
             }
@@ -467,6 +494,9 @@
     }
 
     fn connect_failed(&self, error: &ConnectionError) -> OwnerReport {
+        if let ConnectionError::Refused(kind, _) = error {
+            self.refusals.record(*kind);
+        }
         log::debug!("{}: {error}", self.instance.id);
         let reason = match error {
             ConnectionError::Exhausted
@@ -539,6 +569,7 @@
             "waiting": self.gate.waiting(),
             "transactions": self.pins().len(),
             "served": self.served(),
+            "refused": self.refusals.total(),
         })
     }
 }
