Let strong hosts own instances and come first in the watch order

Cause: an instance was owned by any host of its data centre, most of which have 0.12 of a core and 20 Mbit/s; in a burst the owner is the bottleneck, and 295 entries keep links to 60 owners, which after a loss of all hosts are set up within two seconds.

Change: a host states the class of its processor share (setting cpu_cores); in a data centre the highest class with a host for every eight instances, two at least, is preferred.

Ruled out: weighted rendezvous, by which 22% of the instances would move and as many owners stay.

--- a/crates/link/tests/silence.rs
+++ b/crates/link/tests/silence.rs
@@ -150,9 +150,9 @@
         assert!(!link.is_closed());
         assert!(!is_closed.load(Ordering::SeqCst));
         let pings = up.load(Ordering::SeqCst) - up_before;
-        let pongs = down.load(Ordering::SeqCst) - down_before;
+        let answers = down.load(Ordering::SeqCst) - down_before;
         // A ping in 200 ms at most, and a pong for each.
         assert!((3..=25).contains(&pings), "{pings}");
-        assert!(pongs <= pings, "{pongs} {pings}");
+        assert!(answers <= pings, "{answers} {pings}");
     });
 }
--- a/crates/proxy/src/catalogue.rs
+++ b/crates/proxy/src/catalogue.rs
@@ -120,6 +120,29 @@
     /// not reach it for some minutes.
     #[serde(default)]
     pub leaving: bool,
+    /// Class of its processor share.
+    #[serde(default)]
+    pub tier: HostTier,
+}
+
+/// Class of a host's processor share: each is twice as large as the one below it.
+pub type HostTier = u8;
+
+/// Processor share of the lowest class, in cores. Smaller ones belong to it, too.
+const LOWEST_TIER_CORES: f64 = 0.1;
+/// The highest class.
+const HIGHEST_TIER: HostTier = 15;
+
+/// The class of a processor share in cores; the lowest if the share is unknown.
+#[must_use]
+pub fn host_tier(cores: f64) -> HostTier {
+    let mut tier = 0;
+    let mut next = LOWEST_TIER_CORES * 2.0;
+    while cores >= next && tier < HIGHEST_TIER {
+        tier += 1;
+        next *= 2.0;
+    }
+    tier
 }
 
 /// Which instance leads a database, and which runs may use it, as stored.
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -175,15 +175,15 @@
         own: HostEntry,
         regions: BTreeMap<compact_str::CompactString, compact_str::CompactString>,
     ) -> Self {
-        let hosts = BTreeMap::from([(own.name.clone(), own.clone())]);
+        let hosts = Arc::new(BTreeMap::from([(own.name.clone(), own.clone())]));
         Self {
             own,
             regions,
             endpoints: None,
             instances: Arc::default(),
-            hosts: Arc::new(hosts),
+            hosts: hosts.clone(),
             leaving_hosts: Arc::default(),
-            routes: Arc::default(),
+            routes: Arc::new(RouteIndex::new(&hosts, &BTreeMap::new())),
             listing: OwnListing::default(),
             terms: BTreeMap::new(),
             leader_terms: BTreeMap::new(),
--- a/crates/proxy/src/relay/spreading.rs
+++ b/crates/proxy/src/relay/spreading.rs
@@ -17,7 +17,7 @@
 
 impl From<&HostEntry> for SpreadHost {
     fn from(host: &HostEntry) -> Self {
-        Self::new(&host.name, &host.address, &host.data_centre, &host.region)
+        Self::new(&host.name, &host.address, &host.data_centre, &host.region).with_tier(host.tier)
     }
 }
 
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -19,7 +19,7 @@
 use crate::clock::BootTime;
 use crate::control::ConfirmedTimes;
 use crate::history::ListHistory;
-use crate::view::routes::{RouteIndex, all_candidates};
+use crate::view::routes::RouteIndex;
 
 /// A term record with its version and this host's lease on it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -128,7 +128,7 @@
         let preferred = self.routes.preferred_owners(instance, region);
         let (instance, region) = (instance.clone(), region.map(str::to_owned));
         let others = std::iter::once_with(move || {
-            let all = all_candidates(&self.hosts, &instance, region.as_deref());
+            let all = self.routes.all_candidates(&instance, region.as_deref());
             all.into_iter().skip(preferred.len())
         });
         preferred.iter().chain(others.flatten())
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -53,6 +53,7 @@
         data_centre: "north-1".into(),
         region: "north".into(),
         leaving: false,
+        tier: 0,
     }
 }
 
--- a/crates/proxy/tests/departures.rs
+++ b/crates/proxy/tests/departures.rs
@@ -18,6 +18,7 @@
         data_centre: data_centre.into(),
         region: "north".into(),
         leaving: false,
+        tier: 0,
     }
 }
 
--- a/crates/proxy/tests/leases.rs
+++ b/crates/proxy/tests/leases.rs
@@ -101,6 +101,7 @@
         data_centre: "north-1".into(),
         region: "north".into(),
         leaving: false,
+        tier: 0,
     }
 }
 
--- a/crates/proxy/tests/records.rs
+++ b/crates/proxy/tests/records.rs
@@ -20,6 +20,7 @@
         data_centre: "kosice-a".into(),
         region: "vychod".into(),
         leaving: false,
+        tier: 0,
     }
 }
 
--- a/crates/proxy/tests/routes.rs
+++ b/crates/proxy/tests/routes.rs
@@ -9,7 +9,7 @@
 use fulmarrill_proxy::codec::DatabaseRole;
 use fulmarrill_proxy::control::{ControlEvent, ControlState};
 use fulmarrill_proxy::view::TrafficView;
-use fulmarrill_proxy::view::routes::{all_candidates, rank_of};
+use fulmarrill_proxy::view::routes::rank_of;
 use rstest::rstest;
 
 fn host(index: usize) -> HostEntry {
@@ -20,6 +20,7 @@
         data_centre: format_compact!("dc-{}", index % 6),
         region: format_compact!("region-{}", index % 2),
         leaving: false,
+        tier: 0,
     }
 }
 
@@ -63,7 +64,7 @@
     let view = view_of(hosts, 30);
     for instance in view.instances.values() {
         let region = Some("region-1");
-        let naive = all_candidates(&view.hosts, instance, region);
+        let naive = view.routes.all_candidates(instance, region);
         let candidates: Vec<_> = view.owner_candidates(instance, region).collect();
         assert_eq!(candidates, naive);
     }
@@ -102,3 +103,55 @@
         assert_eq!(before.owner_candidates(instance, None).count(), 20);
     }
 }
+
+fn owner_tiers_of(tiers: &[u8], instances: usize) -> Vec<u8> {
+    let mut list = Vec::new();
+    for (index, tier) in tiers.iter().enumerate() {
+        let mut entry = host(index);
+        entry.data_centre = "dc-0".into();
+        entry.tier = *tier;
+        list.push(entry);
+    }
+    let mut state = ControlState::new(list[0].clone(), BTreeMap::new());
+    let now = Instant::now();
+    state.handle(now, ControlEvent::Hosts { revision: 1, list });
+    let list = (0..instances).map(|index| instance(index * 3)).collect();
+    let event = ControlEvent::Instances {
+        revision: 1,
+        as_of: None,
+        list,
+    };
+    state.handle(now, event);
+    let view = state.view();
+    let mut owners = Vec::new();
+    for instance in view.instances.values() {
+        let owner = view.owner_candidates(instance, None).next().unwrap();
+        owners.push(owner.tier);
+    }
+    owners
+}
+
+/// Of 48 hosts three are strong, and 20 instances are in their data centre: entries
+/// then need links to three owners there in place of twenty.
+#[test]
+fn strong_hosts_own_the_instances_of_their_data_centre() {
+    let mut tiers = vec![0; 45];
+    tiers.extend([2, 2, 2]);
+    assert_eq!(owner_tiers_of(&tiers, 20), vec![2; 20]);
+}
+
+/// So many instances that the strong hosts would own more than eight each.
+#[test]
+fn weaker_hosts_own_instances_if_there_are_many() {
+    let mut tiers = vec![0; 45];
+    tiers.extend([2, 2]);
+    let owners = owner_tiers_of(&tiers, 40);
+    assert!(owners.contains(&0), "{owners:?}");
+}
+
+/// The loss of the only strong host must not move all instances at once.
+#[test]
+fn one_strong_host_is_not_the_only_owner() {
+    let owners = owner_tiers_of(&[0, 0, 0, 3], 20);
+    assert!(owners.contains(&0), "{owners:?}");
+}
--- a/crates/spread/src/order.rs
+++ b/crates/spread/src/order.rs
@@ -1,5 +1,6 @@
 //! The watch order of a fleet, and the polling tree of each data centre.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use compact_str::CompactString;
@@ -22,6 +23,8 @@
     pub data_centre: CompactString,
     /// Region of the data centre.
     pub region: CompactString,
+    /// Class of its processor share. Higher ones come first in the watch order.
+    pub tier: u8,
 }
 
 impl SpreadHost {
@@ -33,13 +36,22 @@
             address: address.into(),
             data_centre: data_centre.into(),
             region: region.into(),
+            tier: 0,
         }
     }
+
+    /// Sets the class of the processor share.
+    #[must_use]
+    pub fn with_tier(mut self, tier: u8) -> Self {
+        self.tier = tier;
+        self
+    }
 }
 
 /// The hosts in the order in which they watch the store: the first of each data
 /// centre, then the second of each, and so on. A data centre that is lost or that
-/// the store does not answer thus silences few of the first ones.
+/// the store does not answer thus silences few of the first ones. In each data centre
+/// strong hosts come first: those at the front have more to do.
 #[must_use]
 pub fn watch_order(hosts: Vec<SpreadHost>) -> Vec<SpreadHost> {
     let mut by_name: BTreeMap<CompactString, SpreadHost> = BTreeMap::new();
@@ -54,7 +66,8 @@
     let mut positions = Vec::new();
     for (data_centre, names) in data_centres {
         let weight = rendezvous_weight(WATCH_ORDER_KEY, data_centre);
-        let ranked = rank_hosts(WATCH_ORDER_KEY, names);
+        let mut ranked = rank_hosts(WATCH_ORDER_KEY, names);
+        ranked.sort_by_key(|name| by_name.get(*name).map(|host| Reverse(host.tier)));
         for (index, name) in ranked.into_iter().enumerate() {
             positions.push((index, weight, CompactString::from(name)));
         }
