Mend slots that were freed without a grant, and pools that looked like lost instances

Also: accepting is tried again after 100 ms and a log line when it fails, no longer at once.

Ruled out: that a grant which nobody reads is lost (grant_that_nobody_reads_frees_its_slot passes before and after).

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -12,12 +13,17 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
+use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 /// Largest request body accepted, in bytes.
 const BODY_BYTES_MAX: usize = 4 << 20;
 
+/// Pause after a connection could not be accepted, for example because the process
+/// has too many open files.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// A request whose body was read completely.
 #[derive(Debug, Clone)]
 pub struct HttpRequest {
@@ -103,8 +109,13 @@
     executor
         .run(async {
             loop {
-                let Ok((stream, _)) = listener.accept().await else {
-                    continue;
+                let stream = match listener.accept().await {
+                    Ok((stream, _)) => stream,
+                    Err(error) => {
+                        log::warn!("an HTTP connection cannot be accepted: {error}");
+                        Timer::after(ACCEPT_RETRY_DELAY).await;
+                        continue;
+                    }
                 };
                 executor
                     .spawn(serve_connection(stream, handler.clone()))
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_channel::Sender;
 use compact_str::CompactString;
@@ -19,6 +20,10 @@
 /// Capacity of the queue of replies to be written.
 const QUEUE_FRAMES: usize = 4096;
 
+/// Pause after a link could not be accepted, for example because the process has too
+/// many open files.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// Serves every link accepted on `listener` until the future is dropped.
 /// `handler` gets each call with the name of the calling host; `on_close` gets
 /// that name when its link ends.
@@ -36,8 +41,13 @@
     executor
         .run(async {
             loop {
-                let Ok((stream, _)) = listener.accept().await else {
-                    continue;
+                let stream = match listener.accept().await {
+                    Ok((stream, _)) => stream,
+                    Err(error) => {
+                        log::warn!("a link cannot be accepted: {error}");
+                        Timer::after(ACCEPT_RETRY_DELAY).await;
+                        continue;
+                    }
                 };
                 let (handler, on_close) = (handler.clone(), on_close.clone());
                 executor
--- a/crates/proxy/src/owner.rs
+++ b/crates/proxy/src/owner.rs
@@ -74,13 +74,14 @@
     }
 
     /// Returns the owner of an instance on this host. Creates one if there is none,
-    /// or if the instance restarted or changed its address or its slots.
+    /// or if the instance restarted or changed its address.
     #[must_use]
     pub fn owner(&self, view: &TrafficView, instance: &InstanceEntry) -> Arc<InstanceOwner> {
         let mut owners = self.owners();
         if let Some(owner) = owners.get(&instance.id)
             && owner.is_same_run(instance)
         {
+            owner.set_slots(instance.slots);
             return owner.clone();
         }
         let connections = view
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -1,7 +1,7 @@
 //! The owner of one instance: its slots, connections and open transactions.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -43,6 +43,14 @@
 /// Connections that transactions may not pin, so that other work can go on.
 const UNPINNED_CONNECTIONS: usize = 2;
 
+fn rank_policies() -> Vec<RankPolicy> {
+    let mut policies = Vec::new();
+    for (index, floor) in RANK_FLOORS.into_iter().enumerate() {
+        policies.push(RankPolicy::new(&format!("rank-{index}"), floor));
+    }
+    policies
+}
+
 /// An open transaction between two of its statements, with its connection.
 #[derive(Debug)]
 pub struct PinnedTransaction {
@@ -77,6 +85,7 @@
 pub struct InstanceOwner {
     instance: InstanceEntry,
     gate: Arc<SlotGate>,
+    slots: AtomicUsize,
     pool: Arc<ConnectionPool>,
     pin_limit: usize,
     pins: Mutex<HashMap<PinId, PinnedTransaction>>,
@@ -103,12 +112,10 @@
     /// Creates the owner of an instance, with at most `connections` connections.
     #[must_use]
     pub fn new(codec: DatabaseCodec, instance: InstanceEntry, connections: usize) -> Self {
-        let mut policies = Vec::new();
-        for (index, floor) in RANK_FLOORS.into_iter().enumerate() {
-            policies.push(RankPolicy::new(&format!("rank-{index}"), floor));
-        }
+        let slots = instance.slots.max(1);
         Self {
-            gate: SlotGate::new(policies, instance.slots.max(1) + QUEUED_AHEAD),
+            gate: SlotGate::new(rank_policies(), slots + QUEUED_AHEAD),
+            slots: AtomicUsize::new(slots),
             pool: ConnectionPool::new(codec, instance.clone(), connections),
             pin_limit: connections.saturating_sub(UNPINNED_CONNECTIONS).max(1),
             pins: Mutex::default(),
@@ -135,12 +142,20 @@
         self.served.load(Ordering::Relaxed)
     }
 
-    /// Whether `instance` has the address, start time and slots of the owned one.
+    /// Whether `instance` has the address and start time of the owned one.
     #[must_use]
     pub fn is_same_run(&self, instance: &InstanceEntry) -> bool {
-        self.instance.address == instance.address
-            && self.instance.started_ms == instance.started_ms
-            && self.instance.slots == instance.slots
+        self.instance.address == instance.address && self.instance.started_ms == instance.started_ms
+    }
+
+    /// Follows a change of the instance's slots. Work that runs or waits, and open
+    /// transactions, are not affected.
+    pub fn set_slots(&self, slots: usize) {
+        let slots = slots.max(1);
+        if self.slots.swap(slots, Ordering::Relaxed) != slots {
+            self.gate
+                .set_policies(rank_policies(), slots + QUEUED_AHEAD);
+        }
     }
 
     fn pins(&self) -> MutexGuard<'_, HashMap<PinId, PinnedTransaction>> {
@@ -225,7 +240,7 @@
     /// spare ones.
     pub fn trim(&self, now: Instant) {
         if let Some(since) = now.checked_sub(UNUSED_TIMEOUT) {
-            let kept = self.instance.slots + SPARE_CONNECTIONS;
+            let kept = self.slots.load(Ordering::Relaxed) + SPARE_CONNECTIONS;
             self.pool.trim(since, kept);
         }
     }
@@ -563,6 +578,7 @@
             "instance": self.instance.id,
             "database": self.instance.database,
             "is_primary": self.instance.role == DatabaseRole::Primary,
+            "slots": self.slots.load(Ordering::Relaxed),
             "connections_open": open,
             "connections_idle": idle,
             "running": self.gate.running(),
--- a/crates/proxy/src/owner/pool.rs
+++ b/crates/proxy/src/owner/pool.rs
@@ -147,10 +147,9 @@
                 // Boxed, because connections are opened rarely and used often.
                 return Box::pin(permit.open(deadline)).await;
             }
-            if timeout_at(deadline, listener).await.is_err() {
-                return Err(ConnectionError::Connect(
-                    "all connections are in use".into(),
-                ));
+            let until = self.paused_until().map_or(deadline, |at| at.min(deadline));
+            if timeout_at(until, listener).await.is_err() && Instant::now() >= deadline {
+                return Err(ConnectionError::Exhausted);
             }
         }
     }
@@ -182,6 +181,10 @@
         })
     }
 
+    fn paused_until(&self) -> Option<Instant> {
+        self.state().paused_until
+    }
+
     fn release_permit(&self) {
         self.state().open -= 1;
         self.freed.notify(1);
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -20,7 +20,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use fulmarrill_runtime::timeout_at;
 use fulmarrill_schedule::{AdmissionRefusal, RankIndex, RankPolicy, RankQueue, WorkId, WorkItem};
 
@@ -98,9 +98,10 @@
             gate: self.clone(),
             rank,
             id,
+            reply: granted,
             has_reply: false,
         };
-        match timeout_at(until, granted.recv()).await {
+        match timeout_at(until, ticket.reply.recv()).await {
             Ok(Ok(Ok(()))) => {
                 ticket.has_reply = true;
                 Ok(SlotGrant {
@@ -191,6 +192,7 @@
     gate: Arc<SlotGate>,
     rank: RankIndex,
     id: WorkId,
+    reply: Receiver<SlotReply>,
     has_reply: bool,
 }
 
@@ -205,6 +207,10 @@
             state.queue.cancel(self.rank, self.id);
             return;
         }
+        if !matches!(self.reply.try_recv(), Ok(Ok(()))) {
+            // It was refused, and holds no slot.
+            return;
+        }
         // The task ended before it received the grant.
         state
             .queue
--- a/crates/slots/tests/waits.rs
+++ b/crates/slots/tests/waits.rs
@@ -51,3 +51,45 @@
         assert_eq!((gate.running(), gate.waiting()), (0, 0));
     });
 }
+
+/// A waiting task whose caller has gone away is dropped after its refusal was sent,
+/// and before it read that.
+#[test]
+fn refusal_that_nobody_reads_frees_no_slot() {
+    smol::block_on(async {
+        let gate = SlotGate::new(vec![RankPolicy::new("reports", 0.0)], 1);
+        let far = Instant::now() + Duration::from_mins(1);
+        let held = gate.take(0, "", far, false).await.unwrap();
+        let mut waiting = Box::pin(gate.take(0, "", far, false));
+        assert!(
+            futures_lite::future::poll_once(&mut waiting)
+                .await
+                .is_none()
+        );
+        gate.refuse_waiting();
+        drop(waiting);
+        assert_eq!(gate.running(), 1);
+        drop(held);
+        assert_eq!(gate.running(), 0);
+    });
+}
+
+/// The same for a task that was granted the slot: it must be free again.
+#[test]
+fn grant_that_nobody_reads_frees_its_slot() {
+    smol::block_on(async {
+        let gate = SlotGate::new(vec![RankPolicy::new("reports", 0.0)], 1);
+        let far = Instant::now() + Duration::from_mins(1);
+        let held = gate.take(0, "", far, false).await.unwrap();
+        let mut waiting = Box::pin(gate.take(0, "", far, false));
+        assert!(
+            futures_lite::future::poll_once(&mut waiting)
+                .await
+                .is_none()
+        );
+        drop(held);
+        assert_eq!(gate.running(), 1);
+        drop(waiting);
+        assert_eq!(gate.running(), 0);
+    });
+}
