Keep control and long-lived tasks going after a panic

Cause looked for: one malformed message or unexpected error that takes a process down. A panic in a session, a link or any other task already ends only that task (tasks_go_on_after_one_panicked passes before and after), but a feed, a watch, the upkeep or the control thread that panicked would have stayed dead while the process looked alive.

--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -1,6 +1,7 @@
 //! Runs the parts of a host: listeners, periodic upkeep and the control thread.
 
 use std::collections::BTreeSet;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
 use std::time::{Duration, Instant};
@@ -8,6 +9,7 @@
 use compact_str::CompactString;
 use fulmarrill_link::serve_links;
 use fulmarrill_position::{DatabaseName, Term};
+use fulmarrill_runtime::spawn_supervised;
 use fulmarrill_spread::FeedKind;
 use smol::net::TcpListener;
 use smol::{Executor, Task, Timer};
@@ -81,10 +83,16 @@
     loop {
         match messages.recv_timeout(PLAN_INTERVAL) {
             Ok(message) => {
-                let answer = apply_message(&mut state, message);
-                publish_view(context, &state);
-                if let Some(answer) = answer {
-                    answer.try_send(()).ok();
+                // An event that control cannot handle must not end all others.
+                let applying = AssertUnwindSafe(|| apply_message(&mut state, message));
+                match catch_unwind(applying) {
+                    Ok(answer) => {
+                        publish_view(context, &state);
+                        if let Some(answer) = answer {
+                            answer.try_send(()).ok();
+                        }
+                    }
+                    Err(_) => log::error!("an event of control panicked and was left out"),
                 }
             }
             Err(RecvTimeoutError::Timeout) => {
@@ -308,13 +316,24 @@
     let mut tasks = vec![
         fulmarrill_runtime::spawn(accept_callers(context.clone(), callers)),
         fulmarrill_runtime::spawn(serve_peers(context.clone(), peers, control.clone())),
-        fulmarrill_runtime::spawn(run_upkeep(context.clone(), control.clone())),
-        fulmarrill_runtime::spawn(run_record_copies(context.clone())),
-        fulmarrill_runtime::spawn(run_watch_decisions(context.clone())),
     ];
+    let (own, sender) = (context.clone(), control.clone());
+    tasks.push(spawn_supervised("upkeep", move || {
+        run_upkeep(own.clone(), sender.clone())
+    }));
+    let own = context.clone();
+    tasks.push(spawn_supervised("copying of records", move || {
+        run_record_copies(own.clone())
+    }));
+    let own = context.clone();
+    tasks.push(spawn_supervised("decision to watch", move || {
+        run_watch_decisions(own.clone())
+    }));
     for kind in FeedKind::ALL {
-        let feed = run_feed(context.clone(), control.clone(), kind);
-        tasks.push(fulmarrill_runtime::spawn(feed));
+        let (own, sender) = (context.clone(), control.clone());
+        tasks.push(spawn_supervised("feed", move || {
+            run_feed(own.clone(), sender.clone(), kind)
+        }));
     }
     tasks
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod cell;
 mod deadline;
+mod panic;
 mod pool;
 
 use std::future::Future;
@@ -20,6 +21,7 @@
 
 pub use crate::cell::PublishedCell;
 pub use crate::deadline::{Elapsed, timeout_at};
+pub use crate::panic::spawn_supervised;
 pub use crate::pool::ThreadPool;
 
 /// Number of threads if [`spawn`] is called before [`start_threads`].
