Say how old the configuration, instances and terms of a host are

A host that hears nothing of the store any more looked like any other. /state and the metric fulmarrill_confirmed_age_seconds give the age of each list, and a log line tells when one was not confirmed for 10 s and when it is again.

--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -13,7 +13,7 @@
 use std::fmt;
 
 pub use opentelemetry::KeyValue;
-pub use opentelemetry::metrics::{Counter, Histogram};
+pub use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use opentelemetry::metrics::{Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -75,6 +75,14 @@
         builder.with_description(description).build()
     }
 
+    /// Creates a gauge.
+    #[must_use]
+    pub fn gauge(&self, name: &'static str, description: &'static str) -> Gauge<f64> {
+        let meter = self.meter();
+        let builder = meter.f64_gauge(name);
+        builder.with_description(description).build()
+    }
+
     /// Creates a histogram of durations in seconds.
     #[must_use]
     pub fn duration_histogram(
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -19,6 +19,7 @@
 use crate::records::RecordKeeper;
 use crate::relay::monitor::StoreMonitor;
 use crate::relay::spreading::SharedSpread;
+use crate::relay::staleness::list_ages;
 use crate::report::StatementLog;
 use crate::view::{TrafficView, ViewCell};
 
@@ -108,12 +109,27 @@
             .map(CompactString::as_str)
     }
 
+    /// The metrics of the host as Prometheus text.
+    #[must_use]
+    pub fn render_metrics(&self) -> String {
+        let view = self.view.load();
+        for (list, age) in list_ages(&view.confirmed, BootTime::now()) {
+            if let Some(age) = age {
+                self.statements.record_list_age(list, age);
+            }
+        }
+        self.statements.render()
+    }
+
     /// The state of the host as JSON, for diagnostics.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
         let view = self.view.load();
         let now = BootTime::now();
-        let age_ms = |at: Option<BootTime>| at.map(|at| now.since(at).as_millis().to_string());
+        let mut ages = BTreeMap::new();
+        for (list, age) in list_ages(&view.confirmed, now) {
+            ages.insert(list, age.map(|age| age.as_millis().to_string()));
+        }
         let mut terms = Vec::new();
         for term in view.terms.values() {
             terms.push(serde_json::json!({
@@ -130,11 +146,7 @@
             "is_ready": self.is_ready(),
             "watches_store": self.store.is_watching(),
             "store_overdue": self.spreading.sources(Instant::now()).is_empty(),
-            "age_ms": {
-                "configuration": age_ms(view.confirmed.configuration),
-                "instances": age_ms(view.confirmed.instances),
-                "terms": age_ms(view.confirmed.terms),
-            },
+            "age_ms": ages,
             "hosts": &*view.hosts,
             "leaving": &*view.leaving,
             "instances": &*view.instances,
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -14,6 +14,7 @@
 pub mod monitor;
 pub mod notice;
 pub mod spreading;
+pub mod staleness;
 pub mod update;
 
 use std::time::{Duration, Instant};
@@ -23,8 +24,10 @@
 use fulmarrill_spread::{FeedKind, UNREAD_DIGEST};
 use smol::Timer;
 
+use crate::clock::BootTime;
 use crate::context::SharedContext;
 use crate::relay::monitor::FIRST_ANSWER_TIME;
+use crate::relay::staleness::StalenessMonitor;
 use crate::relay::update::{forward_update, request_update};
 use crate::server::ControlSender;
 
@@ -64,13 +67,26 @@
     timeout_at(deadline, host_list).await.ok();
 }
 
-/// Decides again and again whether this host watches the store, for as long as the
-/// task lives.
+/// Decides again and again whether this host watches the store, and logs when its
+/// state of the store is old, for as long as the task lives.
 pub async fn run_watch_decisions(context: SharedContext) {
     wait_for_start(&context).await;
+    let mut staleness = StalenessMonitor::default();
     loop {
         let should_watch = context.spreading.should_watch(Instant::now());
         context.store.set_watching(should_watch);
+        let confirmed = context.view.load().confirmed;
+        for change in staleness.update(&confirmed, BootTime::now()) {
+            let age = change.age.unwrap_or_default();
+            if change.is_stale {
+                log::warn!(
+                    "the store has not confirmed the {} for {age:?}",
+                    change.list
+                );
+            } else {
+                log::info!("the store confirms the {} again", change.list);
+            }
+        }
         Timer::after(ROUND_INTERVAL).await;
     }
 }
--- a/crates/proxy/src/report.rs
+++ b/crates/proxy/src/report.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use fulmarrill_metrics::{Counter, Histogram, KeyValue, MetricRegistry};
+use fulmarrill_metrics::{Counter, Gauge, Histogram, KeyValue, MetricRegistry};
 use fulmarrill_position::{LogPoint, Term};
 
 use crate::codec::ErrorKind;
@@ -114,6 +114,7 @@
     registry: MetricRegistry,
     statements: Counter<u64>,
     times: Histogram<f64>,
+    list_ages: Gauge<f64>,
     budget: Mutex<LineBudget>,
 }
 
@@ -131,11 +132,21 @@
                 "fulmarrill_statement_seconds",
                 "Time from a statement to its answer",
             ),
+            list_ages: registry.gauge(
+                "fulmarrill_confirmed_age_seconds",
+                "Time since the store is known to have held a list",
+            ),
             registry,
             budget: Mutex::new(LineBudget::new(Instant::now())),
         }
     }
 
+    /// Sets the time since the store is known to have held a list.
+    pub fn record_list_age(&self, list: &'static str, age: Duration) {
+        let labels = [KeyValue::new("list", list)];
+        self.list_ages.record(age.as_secs_f64(), &labels);
+    }
+
     /// Renders the metrics as Prometheus text.
     #[must_use]
     pub fn render(&self) -> String {
