--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -517,3 +517,29 @@
     );
     assert_eq!(state.view().endpoints.unwrap().version, 7);
 }
+
+/// Hosts take lists from several others, and an answer may be older than what is
+/// known: an instance that has left must not come back by it, nor a host.
+#[test]
+fn list_of_an_earlier_revision_replaces_nothing() {
+    let now = Instant::now();
+    let mut state = state(now);
+    let mut leaving = primary_and_replica();
+    leaving[1].leaving = true;
+    let event = |revision, list| ControlEvent::Instances {
+        revision,
+        as_of: None,
+        list,
+    };
+    state.handle(now, event(9000, leaving));
+    state.handle(now, event(8999, primary_and_replica()));
+    assert!(state.view().instances["b"].leaving);
+    state.handle(now, event(9001, primary_and_replica()));
+    assert!(!state.view().instances["b"].leaving);
+
+    let hosts = |revision, list| ControlEvent::Hosts { revision, list };
+    let both = vec![host("h1", OWN_RUN), host("h2", "h2~1")];
+    state.handle(now, hosts(9000, vec![host("h1", OWN_RUN)]));
+    state.handle(now, hosts(8999, both));
+    assert!(!state.view().hosts.contains_key("h2"));
+}
