Let preferred owners join the holders of a term one after the other

Cause: after a loss of all hosts the three preferred owners of each primary wrote its record at once, so two of three conditional writes failed and were tried again; a host that owns several primaries wrote one record after the other.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -160,6 +160,8 @@
     down_instances: BTreeSet<InstanceId>,
     change_reasons: BTreeMap<DatabaseName, (ObjectVersion, ChangeReason, Instant)>,
     handed_over: BTreeMap<DatabaseName, Term>,
+    /// Since when this host should join the holders of a term.
+    join_since: BTreeMap<DatabaseName, Instant>,
     leaving: bool,
 }
 
@@ -199,6 +201,7 @@
             down_instances: BTreeSet::new(),
             change_reasons: BTreeMap::new(),
             handed_over: BTreeMap::new(),
+            join_since: BTreeMap::new(),
             leaving: false,
         }
     }
--- a/crates/proxy/src/control/plan.rs
+++ b/crates/proxy/src/control/plan.rs
@@ -21,6 +21,9 @@
 /// need to use it.
 pub const PREFERRED_HOLDERS: usize = 3;
 
+/// Delay of each preferred owner behind the one before it in joining the holders.
+const JOIN_STEP: Duration = Duration::from_millis(300);
+
 /// An action that control plans and the adapter carries out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ControlAction {
@@ -97,7 +100,7 @@
             match self.terms.get(database).cloned() {
                 None => self.plan_first_term(&view, database, &mut actions),
                 Some(term) => {
-                    self.plan_holder_join(&view, &term, &mut actions);
+                    self.plan_holder_join(now, &view, &term, &mut actions);
                     actions.extend(self.plan_handed_over(&term));
                     actions.extend(self.plan_change(now, &view, &term));
                 }
@@ -236,19 +239,31 @@
 
     /// Plans to join the holders of a primary if this host is among its preferred
     /// owners. Runs that are no longer listed are removed from the holders.
+    /// The first of these joins at once, and the others a little later: all of them
+    /// start together after a loss of all hosts, and each write makes those of the
+    /// others fail.
     fn plan_holder_join(
-        &self,
+        &mut self,
+        now: Instant,
         view: &TrafficView,
         term: &TermView,
         actions: &mut Vec<ControlAction>,
     ) {
         if term.is_holder || term.record.changed_by.is_some() || self.has_released(&term.record) {
+            self.join_since.remove(&term.record.database);
             return;
         }
         let Some(instance) = self.instances.get(&term.record.primary) else {
             return;
         };
-        if self.owner_index(view, instance) >= PREFERRED_HOLDERS {
+        let index = self.owner_index(view, instance);
+        if index >= PREFERRED_HOLDERS {
+            return;
+        }
+        let delay = JOIN_STEP * u32::try_from(index).unwrap_or(u32::MAX);
+        let database = &term.record.database;
+        let since = *self.join_since.entry(database.clone()).or_insert(now);
+        if now.saturating_duration_since(since) < delay {
             return;
         }
         let mut record = term.record.clone();
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -543,3 +543,37 @@
     state.handle(now, hosts(8999, both));
     assert!(!state.view().hosts.contains_key("h2"));
 }
+
+/// After a loss of all hosts the preferred owners of a primary start together; if all
+/// wrote at once, all but one of the writes would fail, again and again.
+#[test]
+fn preferred_owners_join_the_holders_one_after_the_other() {
+    let now = Instant::now();
+    let names = ["h1", "h2", "h3"];
+    let list: Vec<_> = names
+        .iter()
+        .map(|name| host(name, &format!("{name}~1")))
+        .collect();
+    let mut joined_at_once = 0;
+    for name in names {
+        let own = host(name, &format!("{name}~1"));
+        let regions = BTreeMap::from([("north-1".into(), "north".into())]);
+        let mut state = ControlState::new(own, regions);
+        let limits = DatabaseLimits { connections: 16 };
+        let table = EndpointTable {
+            version: 7,
+            endpoints: BTreeMap::new(),
+            databases: BTreeMap::from([("orders".into(), limits)]),
+            transaction_idle_time: Duration::from_secs(3),
+        };
+        state.handle(now, ControlEvent::Endpoints(table));
+        state.handle(now, hosts_event(list.clone()));
+        state.handle(now, instances_event(primary_and_replica()));
+        let records = vec![(record(&["h1~0"]), 5)];
+        state.handle(now, terms_event(BootTime::now(), records));
+        joined_at_once += state.plan(now).len();
+        // Each joins in the end, should the others not.
+        assert_eq!(state.plan(now + Duration::from_secs(1)).len(), 1, "{name}");
+    }
+    assert_eq!(joined_at_once, 1);
+}
