--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -15,17 +15,16 @@
 use smol::Timer;
 use smol::net::TcpStream;
 use thiserror::Error;
+use tokio_tungstenite::client_async_with_config;
 use tokio_tungstenite::tungstenite::Message;
-use tokio_tungstenite::{WebSocketStream, client_async};
-use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
+use tokio_util::compat::FuturesAsyncReadCompatExt;
 
 use crate::frame::{LinkFrame, LinkProtocol, WireError, decode_frame, encode_frame};
+use crate::stream::{LinkStream, link_config};
 
-/// Capacity of the queue of frames to be written. A call fails while it is full.
-const QUEUE_FRAMES: usize = 4096;
-
-/// WebSocket stream of a link.
-pub(crate) type LinkStream = WebSocketStream<Compat<TcpStream>>;
+/// Frames that may wait to be written. A call fails while that many do. The queue
+/// itself is unbounded, since a bounded one takes the memory of all its places.
+const QUEUE_FRAMES_MAX: usize = 4096;
 
 /// Why a call got no reply.
 #[derive(Debug, Error)]
@@ -153,7 +152,8 @@
             })?;
             stream.set_nodelay(true).ok();
             let url = format!("ws://{address}/peer");
-            let (stream, _) = client_async(url, stream.compat())
+            let config = Some(link_config());
+            let (stream, _) = client_async_with_config(url, stream.compat(), config)
                 .await
                 .map_err(|error| connect_error(error.to_string()))?;
             Ok(stream)
@@ -172,7 +172,7 @@
 
     fn start(stream: LinkStream, hello: Vec<u8>, timing: LinkTiming) -> Self {
         let (sink, source) = stream.split();
-        let (outgoing, frames) = async_channel::bounded(QUEUE_FRAMES);
+        let (outgoing, frames) = async_channel::unbounded();
         let shared = Arc::new(LinkShared {
             closed: AtomicBool::new(false),
             received_at: Mutex::new(Instant::now()),
@@ -234,7 +234,8 @@
         // The link may have closed and cleared the map between the check above
         // and the insertion; checked again, so that no call waits on a closed
         // link.
-        if self.is_closed() || self.outgoing.try_send(frame).is_err() {
+        let is_full = self.outgoing.len() >= QUEUE_FRAMES_MAX;
+        if self.is_closed() || is_full || self.outgoing.try_send(frame).is_err() {
             self.shared.pending().remove(&id);
             return Err(LinkError::Down);
         }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -33,6 +33,7 @@
 mod client;
 mod frame;
 mod server;
+mod stream;
 
 pub use crate::client::{LinkError, LinkTiming, PeerLink};
 pub use crate::frame::{LinkProtocol, WireError};
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -10,15 +10,13 @@
 use futures_util::StreamExt;
 use smol::net::{TcpListener, TcpStream};
 use smol::{Executor, Timer};
-use tokio_tungstenite::accept_async;
+use tokio_tungstenite::accept_async_with_config;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
-use crate::client::{LinkStream, LinkTiming, write_frames};
+use crate::client::{LinkTiming, write_frames};
 use crate::frame::{LinkFrame, LinkProtocol, decode_frame, encode_frame};
-
-/// Capacity of the queue of replies to be written.
-const QUEUE_FRAMES: usize = 4096;
+use crate::stream::{LinkStream, link_config};
 
 /// Pause after a link could not be accepted, for example because the process has too
 /// many open files.
@@ -69,14 +67,16 @@
     F: Future<Output = P::Reply> + Send + 'static,
 {
     stream.set_nodelay(true).ok();
-    let Ok(mut stream) = accept_async(stream.compat()).await else {
+    let Ok(mut stream) = accept_async_with_config(stream.compat(), Some(link_config())).await
+    else {
         return;
     };
     let Some(host) = read_hello::<P>(&mut stream, timing).await else {
         return;
     };
     let (sink, mut source) = stream.split();
-    let (outgoing, frames) = async_channel::bounded(QUEUE_FRAMES);
+    // Each reply waits anyway, here or in the task that made it.
+    let (outgoing, frames) = async_channel::unbounded();
     let reading = async {
         loop {
             let receive_timeout = async {
