--- a/crates/proxy/src/entry/reads.rs
+++ b/crates/proxy/src/entry/reads.rs
@@ -23,6 +23,8 @@
 /// Longest time for which an instance is avoided that was behind several times in a
 /// row. An entry sees a database only now and then, so a shorter one has no effect.
 const BEHIND_BACKOFF_MAX: Duration = Duration::from_secs(2);
+/// Factor by which that time grows each time the instance was behind again.
+const BEHIND_BACKOFF_GROWTH: u32 = 4;
 /// Time for which an instance is avoided that could not be reached, did not run
 /// the work for another reason, or left its outcome unknown.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(700);
@@ -197,8 +199,10 @@
             }
             WorkAnswer::NotRun(NotRunReason::Behind) => {
                 let times = context.entry.record_behind(&chosen.id);
-                let factor = 1 << (2 * times.min(4));
-                (BEHIND_BACKOFF * factor).min(BEHIND_BACKOFF_MAX)
+                let growth = BEHIND_BACKOFF_GROWTH.saturating_pow(times);
+                BEHIND_BACKOFF
+                    .saturating_mul(growth)
+                    .min(BEHIND_BACKOFF_MAX)
             }
             WorkAnswer::NotRun(NotRunReason::Overload) => OVERLOAD_BACKOFF,
             WorkAnswer::NotRun(_) | WorkAnswer::Unknown => UNREACHABLE_BACKOFF,
--- a/crates/proxy/src/relay/notice.rs
+++ b/crates/proxy/src/relay/notice.rs
@@ -1,6 +1,5 @@
 //! Calls that tell a few hosts of a term that this one has written.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use fulmarrill_position::DatabaseName;
@@ -9,7 +8,6 @@
 use crate::catalogue::ObjectVersion;
 use crate::context::SharedContext;
 use crate::peers::ProxyCall;
-use crate::view::TrafficView;
 
 /// Hosts of each feed that are told of a written term.
 const NOTIFIED_MAX: usize = 3;
@@ -49,19 +47,15 @@
 }
 
 /// Waits until the view has at least `version` of the term, but no longer than
-/// [`NOTICE_TIMEOUT`], and returns the view.
-async fn wait_for_term(
-    context: &SharedContext,
-    database: &str,
-    version: ObjectVersion,
-) -> Arc<TrafficView> {
+/// [`NOTICE_TIMEOUT`].
+async fn wait_for_term(context: &SharedContext, database: &str, version: ObjectVersion) {
     let deadline = Instant::now() + NOTICE_TIMEOUT;
     loop {
         let listener = context.view.listen();
         let view = context.view.load();
         let held = view.terms.get(database);
         if held.is_some_and(|held| held.version >= version) || Instant::now() >= deadline {
-            return view;
+            return;
         }
         context.view.wait(listener, deadline).await;
     }
--- a/crates/spread/src/state.rs
+++ b/crates/spread/src/state.rs
@@ -14,12 +14,15 @@
 /// Hosts of each data centre whose far feed may poll another region. The link
 /// between regions is narrow, so the others stay in theirs if they can.
 const INTERREGIONAL_HOSTS: usize = 8;
-/// Delay before the first group of hosts behind the watchers replaces watchers
-/// that the store does not answer.
+/// Hosts that a random feed may fall back to while its first choice cannot be
+/// reached, the first choice included.
+const ALTERNATIVES_MAX: usize = 4;
+/// Delay before the hosts right behind the watchers replace watchers that the store
+/// does not answer.
 const FIRST_WATCH_DELAY: Duration = Duration::from_millis(300);
-/// Delay of each further group, twice as large as the one before it: time to list
-/// the store and to spread the result, several times over. An outage of the store
-/// for all hosts thus makes few of them call it.
+/// Further delay of each group of hosts behind them: time to list the store and to
+/// spread the result, several times over. Each group has twice as many hosts as the
+/// one before it, so an outage of the store for all hosts makes few of them call it.
 const WATCH_DELAY_STEP: Duration = Duration::from_millis(1500);
 
 /// Which host a feed polls, and what it asks for.
@@ -47,8 +50,8 @@
     }
 
     /// Whether the polled host sends new state with its answer, and answers as soon
-    /// as it knows a later source.
-    /// Of the others new state is fetched only if it does not arrive otherwise.
+    /// as it knows a later source. The hosts of the other feeds tell their versions,
+    /// and their state is fetched only if it does not arrive otherwise.
     #[must_use]
     pub const fn brings_state(self) -> bool {
         matches!(self, Self::Parent)
@@ -68,7 +71,8 @@
     far: Vec<SpreadHost>,
     sources: SourceTable,
     lacks_watchers_since: Option<Instant>,
-    /// Random numbers that select the near and the far feed.
+    /// Random numbers that select the hosts of the near and the far feed, and those
+    /// that either falls back to outside of its kind.
     choices: [usize; FEED_COUNT],
 }
 
@@ -118,12 +122,6 @@
         }
     }
 
-    /// Number of hosts that are listed, this one included if it is.
-    #[must_use]
-    pub fn host_count(&self) -> usize {
-        self.order.len()
-    }
-
     /// Records that the store answered this host at `now`.
     pub fn record_own_answer(&mut self, now: Instant) {
         self.sources.record(&self.own.name, now);
@@ -202,10 +200,9 @@
 
 /// The first few hosts from the one that `choice` selects.
 fn rotated(hosts: &[SpreadHost], choice: usize) -> impl Iterator<Item = &SpreadHost> {
-    const ALTERNATIVES: usize = 4;
     let start = choice.checked_rem(hosts.len()).unwrap_or_default();
     let (before, after) = hosts.split_at(start);
-    after.iter().chain(before).take(ALTERNATIVES)
+    after.iter().chain(before).take(ALTERNATIVES_MAX)
 }
 
 /// How long the host at `index` of the watch order waits for sources before it.
