--- a/crates/spread/src/state.rs
+++ b/crates/spread/src/state.rs
@@ -24,6 +24,9 @@
 /// spread the result, several times over. Each group has twice as many hosts as the
 /// one before it, so an outage of the store for all hosts makes few of them call it.
 const WATCH_DELAY_STEP: Duration = Duration::from_millis(1500);
+/// Longest delay: after it every host tries, in case the store answers only the last
+/// ones of the order.
+const WATCH_DELAY_MAX: Duration = Duration::from_secs(6);
 
 /// Which host a feed polls, and what it asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -211,6 +214,6 @@
     let group = (index / WATCHERS + 1).ilog2();
     match group {
         0 => Duration::ZERO,
-        _ => FIRST_WATCH_DELAY + WATCH_DELAY_STEP * (group - 1),
+        _ => (FIRST_WATCH_DELAY + WATCH_DELAY_STEP * (group - 1)).min(WATCH_DELAY_MAX),
     }
 }
