--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,6 +11,7 @@
 mod record;
 mod sync_replica;
 
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -56,11 +57,13 @@
             return ExitCode::from(2);
         }
     };
-    let outcome = match case.as_str() {
+    let running = AssertUnwindSafe(|| match case.as_str() {
         "primary-gone" => primary_gone::run(&record),
         "sync-replica" => sync_replica::run(&record),
         _ => Outcome::CannotRun(format!("no case {case}")),
-    };
+    });
+    let outcome = catch_unwind(running);
+    let outcome = outcome.unwrap_or_else(|_| Outcome::CannotRun("the stand-in panicked".into()));
     match outcome {
         Outcome::Held => {
             record.line("the rule held");
