--- a/review/standin/database.rs
+++ b/review/standin/database.rs
@@ -12,7 +12,7 @@
 use crate::record::Record;
 
 /// Time from an order to promote until the instance leads.
-const PROMOTE_TIME: Duration = Duration::from_millis(300);
+const PROMOTE_TIME: Duration = Duration::from_millis(600);
 /// Statements that may wait for a slot of an instance.
 const QUEUE_LENGTH: usize = 16;
 /// Interval of the pings of an instance. After three of them without a ping its entry
@@ -35,6 +35,8 @@
     pub term: u64,
     pub log: Vec<Entry>,
     pub dead: bool,
+    /// Answers nothing, but keeps its connections.
+    dark: bool,
     /// Receives nothing from the primary.
     pub deaf: bool,
     paused: bool,
@@ -121,6 +123,7 @@
                 term: 1,
                 log: Vec::new(),
                 dead: false,
+                dark: false,
                 deaf: false,
                 paused: false,
                 lag: Duration::from_millis(20),
@@ -198,12 +201,32 @@
         for socket in instance.sockets.drain(..) {
             socket.shutdown(Shutdown::Both).ok();
         }
-        let id = instance.id.clone();
         drop(state);
-        self.record.line(&format!("instance {id} is killed"));
-        let database = self.clone();
+        self.record.line(&format!("instance {index} is killed"));
+        self.let_entry_lapse(index);
+    }
+
+    /// Makes an instance dark for good: it accepts connections and statements, answers
+    /// nothing and pings no more.
+    pub fn darken(self: &Arc<Self>, index: usize) {
+        let mut state = self.state();
+        state.instances[index].dark = true;
+        state.instances[index].dead = true;
+        drop(state);
+        self.record.line(&format!("instance {index} goes dark"));
+        self.let_entry_lapse(index);
+    }
+
+    /// Time since the last ping of the instances.
+    pub fn since_ping(&self) -> Duration {
         let since_ping = self.started_at.elapsed().as_millis() % PING_INTERVAL.as_millis();
-        let expiry_time = PING_INTERVAL * 3 - Duration::from_millis(since_ping as u64);
+        Duration::from_millis(since_ping as u64)
+    }
+
+    fn let_entry_lapse(self: &Arc<Self>, index: usize) {
+        let database = self.clone();
+        let expiry_time = PING_INTERVAL * 3 - self.since_ping();
+        let id = self.state().instances[index].id.clone();
         thread::spawn(move || {
             thread::sleep(expiry_time);
             database
@@ -313,7 +336,7 @@
         };
         {
             let mut state = self.state();
-            if state.instances[index].dead {
+            if state.instances[index].dead && !state.instances[index].dark {
                 return;
             }
             state.instances[index].sockets.extend(stream.try_clone());
@@ -322,6 +345,10 @@
         let mut session = Session::default();
         let mut line = String::new();
         while matches!(reader.read_line(&mut line), Ok(count) if count > 0) {
+            if self.state().instances[index].dark {
+                line.clear();
+                continue;
+            }
             let answer = self.answer(index, line.trim_end(), &mut session);
             if self.state().instances[index].dead || writer.write_all(answer.as_bytes()).is_err() {
                 return;
--- a/review/standin/hosts.rs
+++ b/review/standin/hosts.rs
@@ -2,7 +2,7 @@
 
 use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -20,11 +20,15 @@
     pub child: Option<Child>,
 }
 
-/// Addresses on which nothing listens now. All are bound before any is released.
+/// Addresses on which nothing listens now. All are bound before any is released. They
+/// are on a loopback address of this run's own, where no other run or outgoing
+/// connection takes a port before the hosts do.
 fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let run = std::process::id();
+    let own = Ipv4Addr::new(127, 1 + (run >> 8) as u8 % 254, run as u8, 1);
     let mut listeners = Vec::new();
     for _ in 0..count {
-        listeners.push(TcpListener::bind("127.0.0.1:0").expect("no free port"));
+        listeners.push(TcpListener::bind((own, 0)).expect("no free port"));
     }
     let addresses = listeners
         .iter()
