--- a/crates/proxy/src/owner.rs
+++ b/crates/proxy/src/owner.rs
@@ -4,6 +4,7 @@
 pub mod connection;
 pub mod health;
 pub mod instance;
+pub mod lead;
 pub mod monitor;
 pub mod pool;
 pub mod position;
@@ -43,6 +44,9 @@
     view: Arc<ViewCell>,
     owners: Mutex<HashMap<InstanceId, Arc<InstanceOwner>>>,
     positions: Mutex<HashMap<DatabaseName, PrimaryPosition>>,
+    /// The last term of each database whose primary was found to have stepped
+    /// down, which may precede the news of its successor.
+    lost_terms: Mutex<HashMap<DatabaseName, Term>>,
 }
 
 impl OwnerTable {
@@ -54,6 +58,7 @@
             view,
             owners: Mutex::default(),
             positions: Mutex::default(),
+            lost_terms: Mutex::default(),
         }
     }
 
@@ -67,6 +72,18 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lost_terms(&self) -> MutexGuard<'_, HashMap<DatabaseName, Term>> {
+        self.lost_terms
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the primary of `term` was found to have stepped down.
+    fn has_stepped_down(&self, database: &str, term: Term) -> bool {
+        let lost = self.lost_terms().get(database).copied();
+        lost.is_some_and(|lost| lost >= term)
+    }
+
     /// Returns all owners on this host.
     #[must_use]
     pub fn all(&self) -> Vec<Arc<InstanceOwner>> {
@@ -122,8 +139,17 @@
         let database = request.database.clone();
         let may_use_primary =
             || primary_term.is_none_or(|term| self.may_use_primary(&database, term));
+        let may_send = || {
+            let stepped_down = |term| self.has_stepped_down(&database, term);
+            may_use_primary() && !primary_term.is_some_and(stepped_down)
+        };
         let owner = self.owner(&view, instance);
-        let report = owner.run(from, request, &may_use_primary).await;
+        let report = owner.run(from, request, &may_send).await;
+        if let (Some(term), true) = (primary_term, report.lost_lead) {
+            let mut lost_terms = self.lost_terms();
+            let lost = lost_terms.entry(database.clone()).or_default();
+            *lost = term.max(*lost);
+        }
         // An answer that came after the lease had run out may be that of a
         // replaced primary.
         if primary_term.is_some() && !may_use_primary() {
@@ -132,16 +158,14 @@
                 other => other,
             };
         }
-        if let (Some(term), Some(sent_at), WorkAnswer::Served { point, pin, .. }) =
-            (primary_term, report.sent_at, &report.answer)
-            // Inside a transaction the position may be that of its snapshot.
-            && pin.is_none()
+        if let (Some(term), Some(as_of), WorkAnswer::Served { point, .. }) =
+            (primary_term, report.covers_until, &report.answer)
             && let Some(point) = point
         {
             self.positions()
                 .entry(database)
                 .or_default()
-                .record(term, sent_at, *point);
+                .record(term, as_of, *point);
         }
         report.answer
     }
@@ -233,14 +257,7 @@
     /// Decodes the status in the first row of an answer.
     #[must_use]
     pub fn read_status(&self, answer: &DatabaseAnswer) -> Option<DatabaseStatus> {
-        let row = answer.rows.first()?;
-        match (self.codec.read_status)(row) {
-            Ok(status) => Some(status),
-            Err(error) => {
-                log::warn!("cannot read the status of an instance: {error}");
-                None
-            }
-        }
+        answer.read_status(&self.codec)
     }
 
     /// Closes all connections as soon as they are free, so that a successor can
--- a/crates/proxy/src/owner/commands.rs
+++ b/crates/proxy/src/owner/commands.rs
@@ -30,6 +30,12 @@
     }
 }
 
+/// Whether a statement writes in a transaction that its caller declared read-only.
+#[must_use]
+pub fn is_refused_write(reads_only: bool, statement: &WorkStatement) -> bool {
+    reads_only && statement.writes() && !matches!(statement, WorkStatement::Commit(_))
+}
+
 /// Appends the commands that run `request` on a connection, preceded by those
 /// that set up its session values and prepared statement.
 pub fn push_commands(
--- a/crates/proxy/src/owner/connection.rs
+++ b/crates/proxy/src/owner/connection.rs
@@ -13,7 +13,9 @@
 use thiserror::Error;
 
 use crate::catalogue::InstanceEntry;
-use crate::codec::{CodecError, DatabaseCodec, DatabaseCommand, DatabaseMessage, ErrorKind};
+use crate::codec::{
+    CodecError, DatabaseCodec, DatabaseCommand, DatabaseMessage, DatabaseStatus, ErrorKind,
+};
 use crate::statement::TransactionState;
 
 /// Size of one read from the socket.
@@ -58,6 +60,27 @@
     pub point: Option<LogPoint>,
 }
 
+impl DatabaseAnswer {
+    /// Whether the connection has no open transaction afterwards.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.state == TransactionState::Idle
+    }
+
+    /// Decodes the status in the first row.
+    #[must_use]
+    pub fn read_status(&self, codec: &DatabaseCodec) -> Option<DatabaseStatus> {
+        let row = self.rows.first()?;
+        match (codec.read_status)(row) {
+            Ok(status) => Some(status),
+            Err(error) => {
+                log::warn!("cannot read the status of an instance: {error}");
+                None
+            }
+        }
+    }
+}
+
 /// A connection to an instance on which no answer is outstanding.
 #[derive(Debug)]
 pub struct DatabaseConnection {
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -13,8 +13,9 @@
 use crate::catalogue::{HostName, InstanceEntry, InstanceId};
 use crate::clock::BootTime;
 use crate::codec::{DatabaseCodec, DatabaseCommand, DatabaseRole, ErrorKind};
-use crate::owner::commands::{failed_answer, push_commands, roll_back};
+use crate::owner::commands::{failed_answer, is_refused_write, push_commands, roll_back};
 use crate::owner::connection::{ConnectionError, DatabaseAnswer};
+use crate::owner::lead::{LEAD_CHECK, LeadCheck, needs_lead_check, take_lead_check};
 use crate::owner::monitor::InstanceMonitor;
 use crate::owner::pool::{ConnectionPool, PoolLease};
 use crate::owner::progress::LogProgress;
@@ -55,26 +56,68 @@
 #[derive(Debug)]
 pub struct PinnedTransaction {
     lease: PoolLease,
+    mode: TransactionMode,
     /// Host whose session it belongs to.
     pub entry: HostName,
     /// When its last statement was answered.
     pub idle_since: Instant,
 }
 
-/// An answer, and when the command that it answers was sent.
+/// What an open transaction may do, and has done.
+#[derive(Debug, Clone, Copy, Default)]
+struct TransactionMode {
+    /// Whether its caller declared it read-only.
+    reads_only: bool,
+    /// Whether one of its statements wrote.
+    has_written: bool,
+}
+
+/// The transaction that a statement continues.
+#[derive(Debug, Clone, Copy)]
+struct ContinuedPin {
+    id: PinId,
+    mode: TransactionMode,
+}
+
+/// An answer, and what its position proves.
 #[derive(Debug)]
 pub struct OwnerReport {
     /// The answer.
     pub answer: WorkAnswer,
-    /// When the command was sent; `None` if it was not.
-    pub sent_at: Option<BootTime>,
+    /// Moment up to which the position in the answer covers every acknowledged
+    /// commit, if the instance was the primary; `None` if the answer does not
+    /// show that it was.
+    pub covers_until: Option<BootTime>,
+    /// Whether the instance refused as a replica does, so that it no longer leads.
+    pub lost_lead: bool,
 }
 
 impl OwnerReport {
     fn not_run(reason: NotRunReason) -> Self {
         Self {
             answer: WorkAnswer::NotRun(reason),
-            sent_at: None,
+            covers_until: None,
+            lost_lead: false,
+        }
+    }
+
+    /// The report on a write in a read-only transaction. The instance is not
+    /// asked, since a primary opens it as a plain one.
+    fn refused_write() -> Self {
+        let kind = ErrorKind::ReadOnly;
+        let text = "the transaction is read-only".into();
+        Self {
+            answer: WorkAnswer::Failed { kind, text },
+            covers_until: None,
+            lost_lead: false,
+        }
+    }
+
+    fn unknown() -> Self {
+        Self {
+            answer: WorkAnswer::Unknown,
+            covers_until: None,
+            lost_lead: false,
         }
     }
 }
@@ -83,6 +126,7 @@
 /// the connections of open transactions.
 #[derive(Debug)]
 pub struct InstanceOwner {
+    codec: DatabaseCodec,
     instance: InstanceEntry,
     gate: Arc<SlotGate>,
     slots: AtomicUsize,
@@ -114,6 +158,7 @@
     pub fn new(codec: DatabaseCodec, instance: InstanceEntry, connections: usize) -> Self {
         let slots = instance.slots.max(1);
         Self {
+            codec,
             gate: SlotGate::new(rank_policies(), slots + QUEUED_AHEAD),
             slots: AtomicUsize::new(slots),
             pool: ConnectionPool::new(codec, instance.clone(), connections),
@@ -280,6 +325,9 @@
             WorkStep::Continue(pin) => self.run_step(from, &request, pin, may_use_primary).await,
             WorkStep::Single => self.run_first(from, &request, None, may_use_primary).await,
             WorkStep::Begin { reads_only } => {
+                if is_refused_write(reads_only, &request.statement) {
+                    return OwnerReport::refused_write();
+                }
                 if self.pins().len() >= self.pin_limit {
                     return OwnerReport::not_run(NotRunReason::Overload);
                 }
@@ -333,6 +381,9 @@
                 .get()
                 .set_up(&request.values, None, false, &mut commands);
             let after = after.take();
+            // An instance that has lost the lead refuses each statement of a plain
+            // transaction, but runs those of a read-only one.
+            let reads_only = reads_only && request.primary_term.is_none();
             commands.push(DatabaseCommand::Begin { reads_only, after });
             match self.exchange(&mut lease, &commands, request.deadline).await {
                 Ok(answers) if answers.iter().all(|answer| answer.outcome.is_ok()) => {}
@@ -347,17 +398,23 @@
         self.send(from, request, lease, after, None).await
     }
 
-    /// Sends the statement and reads its answer.
+    /// Sends the statement and reads its answer. A single read at the primary is
+    /// followed by a check that the instance still leads: one that stepped down
+    /// runs reads as well.
     async fn send(
         &self,
         from: &str,
         request: &WorkRequest,
         mut lease: PoolLease,
         after: Option<LogPoint>,
-        pin: Option<PinId>,
+        pin: Option<ContinuedPin>,
     ) -> OwnerReport {
         let mut commands = Vec::new();
         push_commands(&mut lease, request, after, &mut commands);
+        let checks_lead = needs_lead_check(request);
+        if checks_lead {
+            commands.extend(LEAD_CHECK);
+        }
         let sent_at = BootTime::now();
         // A single read may run again elsewhere as soon as the instance counts
         // as down; anything else has to wait for its answer.
@@ -371,11 +428,29 @@
         };
         let exchange = self.exchange(&mut lease, &commands, request.deadline);
         match exchange.or(down).await {
-            Ok(answers) => {
+            Ok(mut answers) => {
+                let lead = if checks_lead {
+                    take_lead_check(&mut answers)
+                } else {
+                    LeadCheck::Confirmed
+                };
+                if lead != LeadCheck::Confirmed {
+                    log::info!(
+                        "{}: the answer to a read is discarded, lead of the instance: {lead:?}",
+                        self.instance.id
+                    );
+                    if answers.last().is_some_and(DatabaseAnswer::is_idle) {
+                        lease.release();
+                    }
+                    return OwnerReport {
+                        lost_lead: lead == LeadCheck::Lost,
+                        ..OwnerReport::unknown()
+                    };
+                }
                 self.finish(from, request, lease, answers, pin, sent_at)
                     .await
             }
-            Err(error) => self.exchange_failed(&error, request, sent_at),
+            Err(error) => self.exchange_failed(&error, request),
         }
     }
 
@@ -389,6 +464,10 @@
         let Some(pinned) = self.pins().remove(&pin) else {
             return OwnerReport::not_run(NotRunReason::TransactionLost);
         };
+        let continued = ContinuedPin {
+            id: pin,
+            mode: pinned.mode,
+        };
         let lease = pinned.lease;
         if request.statement == WorkStatement::Rollback {
             roll_back(lease).await;
@@ -399,16 +478,21 @@
                     point: None,
                     pin: None,
                 },
-                sent_at: None,
+                covers_until: None,
+                lost_lead: false,
             };
         }
+        if is_refused_write(continued.mode.reads_only, &request.statement) {
+            roll_back(lease).await;
+            return OwnerReport::refused_write();
+        }
         let Some(_slot) = self.take_slot(request, true).await else {
             return OwnerReport::not_run(NotRunReason::Overload);
         };
         if !may_use_primary() {
             return OwnerReport::not_run(NotRunReason::NotPrimary);
         }
-        self.send(from, request, lease, None, Some(pin)).await
+        self.send(from, request, lease, None, Some(continued)).await
     }
 
     /// Combines the answers into one for the entry, and pins, releases or rolls
@@ -420,7 +504,7 @@
         request: &WorkRequest,
         mut lease: PoolLease,
         mut answers: Vec<DatabaseAnswer>,
-        pin: Option<PinId>,
+        pin: Option<ContinuedPin>,
         sent_at: BootTime,
     ) -> OwnerReport {
         self.served.fetch_add(1, Ordering::Relaxed);
@@ -434,15 +518,13 @@
         if let (Some(point), true) = (last.point, last.state != TransactionState::Open) {
             self.progress().record(point, Instant::now());
         }
-        let sent_at = Some(sent_at);
         if failure.is_some() && last.outcome.is_ok() {
             // The statement ran although a command that it depends on failed.
             log::error!(
                 "{}: a statement ran although an earlier command failed: {failure:?}",
                 self.instance.id
             );
-            let answer = WorkAnswer::Unknown;
-            return OwnerReport { answer, sent_at };
+            return OwnerReport::unknown();
         }
         if let Some((kind, text)) = failure {
             self.refusals.record(kind);
@@ -459,14 +541,21 @@
             }
             return OwnerReport {
                 answer: failed_answer(request, kind, text),
-                sent_at,
+                covers_until: None,
+                lost_lead: kind == ErrorKind::ReadOnly,
             };
         }
+        let mut mode = pin.map(|pin| pin.mode).unwrap_or_default();
+        mode.reads_only |= request.step == WorkStep::Begin { reads_only: true };
+        // An instance that stepped down still commits a transaction that wrote
+        // nothing. Inside a transaction the position may be that of its snapshot.
+        let covers = last.state == TransactionState::Idle && (pin.is_none() || mode.has_written);
         let pin = if last.state == TransactionState::Idle {
             lease.release();
             None
         } else {
-            Some(self.pin_transaction(from, lease, pin))
+            mode.has_written |= request.statement.writes();
+            Some(self.pin_transaction(from, lease, pin, mode))
         };
         let answer = WorkAnswer::Served {
             rows: last.rows,
@@ -474,14 +563,26 @@
             point: last.point,
             pin,
         };
-        OwnerReport { answer, sent_at }
+        OwnerReport {
+            answer,
+            covers_until: covers.then_some(sent_at),
+            lost_lead: false,
+        }
     }
 
     /// Pins a connection for the next statement of its transaction.
-    fn pin_transaction(&self, from: &str, lease: PoolLease, pin: Option<PinId>) -> PinId {
-        let id = pin.unwrap_or_else(|| self.next_pin.fetch_add(1, Ordering::Relaxed));
+    fn pin_transaction(
+        &self,
+        from: &str,
+        lease: PoolLease,
+        pin: Option<ContinuedPin>,
+        mode: TransactionMode,
+    ) -> PinId {
+        let new_id = || self.next_pin.fetch_add(1, Ordering::Relaxed);
+        let id = pin.map_or_else(new_id, |pin| pin.id);
         let pinned = PinnedTransaction {
             lease,
+            mode,
             entry: from.into(),
             idle_since: Instant::now(),
         };
@@ -523,34 +624,26 @@
         OwnerReport::not_run(reason)
     }
 
-    fn exchange_failed(
-        &self,
-        error: &ConnectionError,
-        request: &WorkRequest,
-        sent_at: BootTime,
-    ) -> OwnerReport {
+    fn exchange_failed(&self, error: &ConnectionError, request: &WorkRequest) -> OwnerReport {
         log::debug!("{}: {error}", self.instance.id);
         self.pool.close_idle();
         // A transaction whose commit was not sent can no longer be committed.
         let in_transaction = request.step != WorkStep::Single;
         let commits = matches!(request.statement, WorkStatement::Commit(_));
-        let answer = if in_transaction && !commits {
-            WorkAnswer::NotRun(NotRunReason::TransactionLost)
-        } else {
-            WorkAnswer::Unknown
-        };
-        OwnerReport {
-            answer,
-            sent_at: Some(sent_at),
+        if in_transaction && !commits {
+            return OwnerReport::not_run(NotRunReason::TransactionLost);
         }
+        OwnerReport::unknown()
     }
 
-    /// Queries the primary's position, and returns it with the time of the query.
+    /// Queries the position of the primary of `term`, and returns it with the time
+    /// of the query; `None` if the instance does not lead that term.
     pub async fn query_position(&self, term: Term) -> Option<(BootTime, LogPoint)> {
         let deadline = Instant::now() + POSITION_TIMEOUT;
         let (sent_at, answer) = self.run_command(DatabaseCommand::Status, deadline).await?;
-        // A position of a later term is not one of this primary.
-        let point = answer.point.filter(|point| point.term <= term)?;
+        let status = answer.read_status(&self.codec)?;
+        let leads = status.role == DatabaseRole::Primary && status.term == term;
+        let point = answer.point.filter(|point| leads && point.term <= term)?;
         Some((sent_at, point))
     }
 
