--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -274,6 +274,7 @@
             } => {
                 self.terms_read = true;
                 self.apply_terms(as_of, records);
+                self.note_missing_primaries(now);
                 let terms = &mut self.versions.terms;
                 terms.revision = terms.revision.max(revision);
                 self.confirmed.terms = self.confirmed.terms.max(Some(as_of));
@@ -284,6 +285,7 @@
                 version,
             } => {
                 self.apply_terms(as_of, vec![(record, version)]);
+                self.note_missing_primaries(now);
             }
             ControlEvent::LeaderTerm { instance, term } => {
                 self.leader_terms.insert(instance, term);
@@ -353,9 +355,24 @@
             self.instances = Arc::new(instances);
             self.index_routes();
         }
+        self.note_missing_primaries(now);
         true
     }
 
+    /// Notes since when the primary of a term is not listed. This host may have
+    /// started after its entry expired, so that it never saw it listed.
+    fn note_missing_primaries(&mut self, now: Instant) {
+        if self.versions.instances.digest == UNREAD_DIGEST {
+            return;
+        }
+        for term in self.terms.values() {
+            let primary = &term.record.primary;
+            if !self.instances.contains_key(primary) {
+                self.missing_since.entry(primary.clone()).or_insert(now);
+            }
+        }
+    }
+
     /// Applies a list of hosts. This host counts as taking new work until it is told
     /// to leave, however it is listed.
     fn apply_hosts(&mut self, now: Instant, revision: u64, mut list: Vec<HostEntry>) {
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -83,6 +83,13 @@
 
 /// State of a host with one database of two instances, and without a term.
 fn state(now: Instant) -> ControlState {
+    let mut state = state_without_instances(now);
+    state.handle(now, instances_event(primary_and_replica()));
+    state
+}
+
+/// State of a host that has read the configuration and the hosts.
+fn state_without_instances(now: Instant) -> ControlState {
     let regions = BTreeMap::from([("north-1".into(), "north".into())]);
     let mut state = ControlState::new(host("h1", OWN_RUN), regions);
     let limits = DatabaseLimits { connections: 16 };
@@ -96,7 +103,6 @@
         }),
     );
     state.handle(now, hosts_event(vec![host("h1", OWN_RUN)]));
-    state.handle(now, instances_event(primary_and_replica()));
     state
 }
 
@@ -379,6 +385,32 @@
     assert_eq!(state.plan(later), []);
 }
 
+/// Guards against a primary that is never replaced: it died while all hosts were
+/// down, so none that starts afterwards has ever seen its entry.
+#[rstest]
+#[case::instances_are_read_first(true)]
+#[case::terms_are_read_first(false)]
+fn primary_that_was_never_listed_is_replaced_after_the_grace_time(#[case] instances_first: bool) {
+    let now = Instant::now();
+    let mut state = state_without_instances(now);
+    let instances = || instances_event(vec![instance("b", DatabaseRole::Replica)]);
+    let terms = || terms_event(BootTime::now(), vec![(record(&["h1~0"]), 5)]);
+    if instances_first {
+        state.handle(now, instances());
+        state.handle(now, terms());
+    } else {
+        state.handle(now, terms());
+        state.handle(now, instances());
+    }
+    assert_eq!(state.plan(now + Duration::from_secs(2)), []);
+    let expected = ControlAction::ChangePrimary {
+        database: "orders".into(),
+        version: 5,
+        reason: ChangeReason::Gone,
+    };
+    assert_eq!(state.plan(now + Duration::from_secs(3)), [expected]);
+}
+
 /// The control state gets events many times per second, so expiry must not depend
 /// on a pause between them.
 #[test]
