--- a/crates/proxy/src/catalogue.rs
+++ b/crates/proxy/src/catalogue.rs
@@ -54,6 +54,9 @@
 pub struct DatabaseLimits {
     /// Connections that each of its instances accepts in total.
     pub connections: usize,
+    /// Replicas that have received a commit when it is acknowledged.
+    #[serde(default)]
+    pub sync_replicas: usize,
 }
 
 /// One version of the operators' configuration.
--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -23,11 +23,11 @@
 use smol::Timer;
 
 use crate::catalogue::{HostEntry, InstanceEntry, InstanceId, ObjectVersion, RunName, TermRecord};
-use crate::change::candidate::{ChangeCandidate, choose_candidate};
+use crate::change::candidate::{ChangeCandidate, CommitBounds, choose_candidate};
 use crate::change::handover::hand_over_change;
 use crate::change::reach::is_reachable_from_others;
 use crate::clock::BootTime;
-use crate::codec::{DatabaseCommand, DatabaseRole, DatabaseStatus};
+use crate::codec::{DatabaseCommand, DatabaseRole, DatabaseStatus, ErrorKind};
 use crate::context::SharedContext;
 use crate::control::plan::{ChangeReason, PREFERRED_HOLDERS};
 use crate::control::{ControlEvent, LEASE_TIME};
@@ -52,12 +52,35 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two rounds of requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(60);
-/// Time for a replica to receive the log of a primary that stepped down.
+/// Time between two requests to an instance that has no slot free.
+const BUSY_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for a replica to receive the log of a primary that stepped down, and for a
+/// primary without a free slot to step down after all hosts have released its term.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time within which an instance must lead after the order to promote it; the
 /// platform needs up to a second.
 const PROMOTE_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// Answer of an instance to a command of a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CommandAnswer {
+    /// Its status after the command.
+    Status(DatabaseStatus),
+    /// It has no slot free and did nothing.
+    Busy,
+    /// No answer came, or none that can be used.
+    Nothing,
+}
+
+impl CommandAnswer {
+    fn status(self) -> Option<DatabaseStatus> {
+        match self {
+            Self::Status(status) => Some(status),
+            Self::Busy | Self::Nothing => None,
+        }
+    }
+}
+
 /// A change in progress, with the record as this host wrote it last.
 struct PrimaryChange<'a> {
     context: &'a SharedContext,
@@ -182,9 +205,11 @@
         }
         let stepped_down = self.end_term(old_term).await;
         let floor = stepped_down.map(|status| status.received);
+        let catch_up_until = Instant::now() + CATCH_UP_TIMEOUT;
         while self.is_in_time() {
-            let Some(chosen) = self.choose_instance(old_term + 1, floor).await else {
-                Timer::after(POLL_INTERVAL).await;
+            let choosing = self.choose_instance(old_term + 1, floor, catch_up_until);
+            let Some(chosen) = choosing.await else {
+                Timer::after(BUSY_POLL_INTERVAL).await;
                 continue;
             };
             if let Some(term) = self.promote(&chosen, old_term).await {
@@ -202,7 +227,8 @@
             if instance.id == self.record.primary || instance.role != DatabaseRole::Primary {
                 continue;
             }
-            if let Some(status) = self.command(instance, DatabaseCommand::Status).await
+            let answer = self.command(instance, DatabaseCommand::Status).await;
+            if let Some(status) = answer.status()
                 && status.role == DatabaseRole::Primary
                 && status.term > old_term
             {
@@ -212,16 +238,18 @@
         None
     }
 
-    async fn command(
-        &self,
-        instance: &InstanceEntry,
-        command: DatabaseCommand,
-    ) -> Option<DatabaseStatus> {
+    async fn command(&self, instance: &InstanceEntry, command: DatabaseCommand) -> CommandAnswer {
         let view = self.context.view.load();
         let owner = self.context.owners.owner(&view, instance);
         let deadline = Instant::now() + REQUEST_TIMEOUT;
-        let (_, answer) = owner.run_command(command, deadline).await?;
-        self.context.owners.read_status(&answer)
+        let Some((_, answer)) = owner.run_command(command, deadline).await else {
+            return CommandAnswer::Nothing;
+        };
+        if matches!(answer.outcome, Err((ErrorKind::Busy, _))) {
+            return CommandAnswer::Busy;
+        }
+        let status = self.context.owners.read_status(&answer);
+        status.map_or(CommandAnswer::Nothing, CommandAnswer::Status)
     }
 
     /// Whether this host's last attempt to connect to the old primary failed, or
@@ -235,14 +263,14 @@
         owner.monitor().health().is_failing()
     }
 
-    /// Tells the old primary to step down. Returns its status if it did.
-    async fn step_down(&self, term: Term) -> Option<DatabaseStatus> {
+    /// Tells the old primary to step down.
+    async fn step_down(&self, term: Term) -> CommandAnswer {
         let view = self.context.view.load();
-        let instance = view.instances.get(&self.record.primary)?;
-        let status = self
-            .command(instance, DatabaseCommand::StepDown(term))
-            .await?;
-        (status.role == DatabaseRole::Replica).then_some(status)
+        let Some(instance) = view.instances.get(&self.record.primary) else {
+            return CommandAnswer::Nothing;
+        };
+        self.command(instance, DatabaseCommand::StepDown(term))
+            .await
     }
 
     /// Waits until no host can use the old primary. Returns its status if it
@@ -251,22 +279,35 @@
         let database = &self.record.database;
         let mut holding: BTreeSet<RunName> = self.record.holders.iter().cloned().collect();
         let leases_expire_at = BootTime::now().after(LEASE_TIME + LEASE_MARGIN);
+        let busy_until = Instant::now() + CATCH_UP_TIMEOUT;
         // A primary that does not answer would delay the requests to the holders.
         let mut asks_primary = !self.is_primary_unreachable();
         loop {
-            if asks_primary && let Some(status) = self.step_down(term + 1).await {
-                log::info!(
-                    "{database}: the old primary stepped down at {}",
-                    status.received
-                );
-                return Some(status);
+            let mut is_busy = false;
+            if asks_primary {
+                match self.step_down(term + 1).await {
+                    CommandAnswer::Status(status) if status.role == DatabaseRole::Replica => {
+                        log::info!(
+                            "{database}: the old primary stepped down at {}",
+                            status.received
+                        );
+                        return Some(status);
+                    }
+                    answer => is_busy = answer == CommandAnswer::Busy,
+                }
             }
             asks_primary = true;
             holding = self.remaining_holders(holding, term).await;
-            if holding.is_empty() || BootTime::now() >= leases_expire_at {
+            let has_ended = holding.is_empty() || BootTime::now() >= leases_expire_at;
+            if !has_ended {
+                Timer::after(POLL_INTERVAL).await;
+                continue;
+            }
+            // Without new work a slot becomes free soon, and its log is complete.
+            if !is_busy || Instant::now() >= busy_until {
                 break;
             }
-            Timer::after(POLL_INTERVAL).await;
+            Timer::after(BUSY_POLL_INTERVAL).await;
         }
         log::info!(
             "{database}: term {term} has ended, holders whose lease had to expire: {}",
@@ -312,36 +353,53 @@
         }
     }
 
-    /// The instance with the newest log among those that answer. If the old
-    /// primary stepped down at `floor`, waits for a replica that has received the
-    /// log up to there, for [`CATCH_UP_TIMEOUT`] at most. Otherwise pauses the
-    /// replicas, so that they receive nothing more from terms before `term`.
-    async fn choose_instance(&self, term: Term, floor: Option<LogPoint>) -> Option<InstanceEntry> {
-        let until = Instant::now() + CATCH_UP_TIMEOUT;
-        loop {
-            let view = self.context.view.load();
-            let others = view
-                .instances_of(&self.record.database)
-                .filter(|instance| !instance.leaving && instance.id != self.record.primary);
-            let asking = others.map(|instance| async move {
-                // A replica that still receives from a primary that stepped down
-                // must not be paused before it has the whole log.
-                let command = match floor {
-                    Some(_) => DatabaseCommand::Status,
-                    None => DatabaseCommand::Pause(term),
-                };
-                let status = self.command(instance, command).await?;
-                Some(ChangeCandidate { instance, status })
-            });
-            let answers = join_all(asking).await;
-            let candidates: Vec<ChangeCandidate> = answers.into_iter().flatten().collect();
-            let chosen = choose_candidate(&candidates)?;
-            let complete = floor.is_none_or(|floor| chosen.status.received >= floor);
-            if complete || Instant::now() >= until {
-                return Some(chosen.instance.clone());
-            }
-            Timer::after(POLL_INTERVAL / 3).await;
+    /// The instance with the newest log among those that answer, if it may be
+    /// promoted. If the old primary stepped down at `floor`, waits until
+    /// `catch_up_until` for a replica that has received the log up to there.
+    /// Otherwise pauses the replicas, so that they receive nothing more from terms
+    /// before `term`.
+    async fn choose_instance(
+        &self,
+        term: Term,
+        floor: Option<LogPoint>,
+        catch_up_until: Instant,
+    ) -> Option<InstanceEntry> {
+        let view = self.context.view.load();
+        let database = &self.record.database;
+        let limits = view.endpoints.as_ref()?.databases.get(database);
+        let sync_replicas = limits.map_or(0, |limits| limits.sync_replicas);
+        // A replica that is leaving counts for synchronous commits until it ends.
+        let others: Vec<&InstanceEntry> = view
+            .instances_of(database)
+            .filter(|instance| instance.id != self.record.primary)
+            .filter(|instance| sync_replicas > 0 || !instance.leaving)
+            .collect();
+        let bounds = CommitBounds {
+            floor,
+            replicas: others.len(),
+            sync_replicas,
+        };
+        let asking = others.into_iter().map(|instance| async move {
+            // A replica that still receives from a primary that stepped down
+            // must not be paused before it has the whole log.
+            let command = match floor {
+                Some(_) => DatabaseCommand::Status,
+                None => DatabaseCommand::Pause(term),
+            };
+            let status = self.command(instance, command).await.status()?;
+            Some(ChangeCandidate { instance, status })
+        });
+        let answers = join_all(asking).await;
+        let mut candidates: Vec<ChangeCandidate> = answers.into_iter().flatten().collect();
+        let may_wait = floor.is_some() && Instant::now() < catch_up_until;
+        if may_wait {
+            candidates.retain(|candidate| !candidate.instance.leaving);
+        }
+        let chosen = choose_candidate(&candidates)?;
+        if !bounds.allow(chosen, candidates.len(), may_wait) {
+            return None;
         }
+        Some(chosen.instance.clone())
     }
 
     /// Sends a promotion order and waits until the instance leads. Returns its
@@ -367,7 +425,8 @@
         }
         let until = Instant::now() + PROMOTE_TIMEOUT;
         while Instant::now() < until {
-            if let Some(status) = self.command(chosen, DatabaseCommand::Status).await
+            let answer = self.command(chosen, DatabaseCommand::Status).await;
+            if let Some(status) = answer.status()
                 && status.role == DatabaseRole::Primary
                 && status.term > old_term
             {
--- a/crates/proxy/src/owner.rs
+++ b/crates/proxy/src/owner.rs
@@ -23,7 +23,7 @@
 use crate::owner::connection::DatabaseAnswer;
 use crate::owner::instance::InstanceOwner;
 use crate::owner::position::PrimaryPosition;
-use crate::view::{TrafficView, ViewCell};
+use crate::view::{TermView, TrafficView, ViewCell};
 use crate::work::{NotRunReason, WorkAnswer, WorkRequest};
 
 /// Fraction of an instance's connection limit that one owner may open. The rest
@@ -115,10 +115,14 @@
         owner
     }
 
-    /// Drops the owners of instances that left the view, unless they are in use.
+    /// Drops the owners of instances that left the view, unless they are in use. The
+    /// others leave a slot to a change of primary that has to hear every replica.
     pub fn apply_view(&self, view: &TrafficView) {
-        self.owners()
-            .retain(|id, owner| view.instances.contains_key(id) || owner.is_used());
+        let mut owners = self.owners();
+        owners.retain(|id, owner| view.instances.contains_key(id) || owner.is_used());
+        for owner in owners.values() {
+            owner.reserve_slot(must_hear_replicas(view, owner.database()));
+        }
     }
 
     /// Whether this host may use the primary of `term` now.
@@ -285,6 +289,17 @@
     }
 }
 
+/// Whether the primary of a database with synchronous replicas is being changed.
+fn must_hear_replicas(view: &TrafficView, database: &str) -> bool {
+    let is_changing = |term: &TermView| term.record.changed_by.is_some();
+    let limits = view
+        .endpoints
+        .as_ref()
+        .and_then(|table| table.databases.get(database));
+    limits.is_some_and(|limits| limits.sync_replicas > 0)
+        && view.terms.get(database).is_some_and(is_changing)
+}
+
 /// Returns how many of an instance's `connections` one owner may open.
 fn owner_connection_limit(connections: usize) -> usize {
     #[allow(
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -1,11 +1,11 @@
 //! The owner of one instance: its slots, connections and open transactions.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use fulmarrill_position::{LogPoint, Term};
+use fulmarrill_position::{DatabaseName, LogPoint, Term};
 use fulmarrill_schedule::RankPolicy;
 use fulmarrill_slots::{SlotGate, SlotGrant};
 use futures_lite::FutureExt;
@@ -130,6 +130,8 @@
     instance: InstanceEntry,
     gate: Arc<SlotGate>,
     slots: AtomicUsize,
+    /// Whether a slot is left to a change of primary.
+    reserves_slot: AtomicBool,
     pool: Arc<ConnectionPool>,
     pin_limit: usize,
     pins: Mutex<HashMap<PinId, PinnedTransaction>>,
@@ -161,6 +163,7 @@
             codec,
             gate: SlotGate::new(rank_policies(), slots + QUEUED_AHEAD),
             slots: AtomicUsize::new(slots),
+            reserves_slot: AtomicBool::new(false),
             pool: ConnectionPool::new(codec, instance.clone(), connections),
             pin_limit: connections.saturating_sub(UNPINNED_CONNECTIONS).max(1),
             pins: Mutex::default(),
@@ -181,6 +184,12 @@
         &self.instance.id
     }
 
+    /// Returns the database that the instance belongs to.
+    #[must_use]
+    pub fn database(&self) -> &DatabaseName {
+        &self.instance.database
+    }
+
     /// Returns how many requests the instance answered.
     #[must_use]
     pub fn served(&self) -> u64 {
@@ -198,11 +207,29 @@
     pub fn set_slots(&self, slots: usize) {
         let slots = slots.max(1);
         if self.slots.swap(slots, Ordering::Relaxed) != slots {
-            self.gate
-                .set_policies(rank_policies(), slots + QUEUED_AHEAD);
+            self.apply_capacity();
+        }
+    }
+
+    /// Leaves one slot of the instance free of statements, or uses all again. An
+    /// instance without a free slot does not answer the commands of a change of
+    /// primary.
+    pub fn reserve_slot(&self, reserves: bool) {
+        if self.reserves_slot.swap(reserves, Ordering::Relaxed) != reserves {
+            self.apply_capacity();
         }
     }
 
+    fn apply_capacity(&self) {
+        let slots = self.slots.load(Ordering::Relaxed);
+        let capacity = if self.reserves_slot.load(Ordering::Relaxed) {
+            slots.saturating_sub(1).max(1)
+        } else {
+            slots + QUEUED_AHEAD
+        };
+        self.gate.set_policies(rank_policies(), capacity);
+    }
+
     fn pins(&self) -> MutexGuard<'_, HashMap<PinId, PinnedTransaction>> {
         self.pins.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -647,7 +674,8 @@
         Some((sent_at, point))
     }
 
-    /// Runs one command of the proxy itself, ahead of all waiting work.
+    /// Runs one command of the proxy itself, ahead of all waiting work. Returns the
+    /// answer, whatever its outcome, and when the command was sent.
     pub async fn run_command(
         &self,
         command: DatabaseCommand,
@@ -660,7 +688,7 @@
         let answers = self.exchange(&mut lease, &[command], deadline).await;
         let answer = answers.ok()?.pop()?;
         lease.release();
-        answer.outcome.is_ok().then_some((sent_at, answer))
+        Some((sent_at, answer))
     }
 
     /// Returns the state of this owner for the state dump.
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -92,7 +92,10 @@
 fn state_without_instances(now: Instant) -> ControlState {
     let regions = BTreeMap::from([("north-1".into(), "north".into())]);
     let mut state = ControlState::new(host("h1", OWN_RUN), regions);
-    let limits = DatabaseLimits { connections: 16 };
+    let limits = DatabaseLimits {
+        connections: 16,
+        sync_replicas: 0,
+    };
     state.handle(
         now,
         ControlEvent::Endpoints(EndpointTable {
@@ -591,7 +594,10 @@
         let own = host(name, &format!("{name}~1"));
         let regions = BTreeMap::from([("north-1".into(), "north".into())]);
         let mut state = ControlState::new(own, regions);
-        let limits = DatabaseLimits { connections: 16 };
+        let limits = DatabaseLimits {
+            connections: 16,
+            sync_replicas: 0,
+        };
         let table = EndpointTable {
             version: 7,
             endpoints: BTreeMap::new(),
