Answer everything that was read before a leaving host ends (LOST)

Callers saw: requests around SIGTERM ended without a whole answer, though an instance had run them for another host (the users' own runs, no case in review/).

Reproduced with processes, platform/tests/processes/leaving.rs: all 5 cases failed in 2 of 2 runs before (statements that end 4.8 to 4.95 s after SIGTERM, statements that outlast the grace time, 26 and 21 writes of callers that came later than 3.5 s after SIGTERM); all pass now.

Cause: the process ended after four fifths of the grace time with whatever was under way, and accepted callers and read statements until then. An instance may work until five sixths, and a platform with few hosts in rotation sends callers to leaving ones.

Ruled out: a link that ends (the caller gets an answer), unread bytes that reset the connection (no byte of an answer was on its way).

Change: stages of leaving; the port for callers closes with the draining of sessions; statements begun after SIGTERM are limited to 0.85 of the grace time, and what is under way then is answered as unknown before records are written.

That the three cases of the users' record had this cause is suspected only, their times were left out.

--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -2,18 +2,16 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use compact_str::CompactString;
-use event_listener::Event;
-
 use fulmarrill_runtime::PublishedCell;
 
 use crate::catalogue::{HostName, RunName};
 use crate::clock::BootTime;
 use crate::codec::CallerCodec;
 use crate::entry::EntryState;
+use crate::leaving::LeaveProgress;
 use crate::owner::OwnerTable;
 use crate::peers::pool::PeerPool;
 use crate::records::RecordKeeper;
@@ -65,9 +63,8 @@
     pub store: StoreMonitor,
     /// Which hosts the store answers, and whom to poll.
     pub spreading: SharedSpread,
-    leaving: AtomicBool,
-    closing: AtomicBool,
-    close_event: Event,
+    /// How far this host has got in leaving.
+    pub leave_progress: LeaveProgress,
 }
 
 /// Shared handle of a context.
@@ -92,9 +89,7 @@
             records: RecordKeeper::new(&place.run),
             store: StoreMonitor::default(),
             spreading: SharedSpread::new(&place),
-            leaving: AtomicBool::new(false),
-            closing: AtomicBool::new(false),
-            close_event: Event::new(),
+            leave_progress: LeaveProgress::default(),
             view,
             place,
         })
@@ -160,33 +155,17 @@
     /// Whether the host was told to leave.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.leave_progress.is_leaving()
     }
 
-    /// Starts leaving: the host no longer counts as ready, and closes connections
-    /// to instances as soon as they are free.
-    pub fn leave(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
+    /// Starts leaving: the host no longer counts as ready, closes connections to
+    /// instances as soon as they are free, and gives its last answers at
+    /// `answers_due_at`.
+    pub fn leave(&self, answers_due_at: Instant) {
+        self.leave_progress.begin(answers_due_at);
         self.owners.retire();
     }
 
-    /// Ends each session as soon as it has nothing outstanding.
-    pub fn close_sessions(&self) {
-        self.closing.store(true, Ordering::SeqCst);
-        self.close_event.notify(usize::MAX);
-    }
-
-    /// Waits until [`Self::close_sessions`] was called.
-    pub async fn wait_until_closing(&self) {
-        loop {
-            let listener = self.close_event.listen();
-            if self.closing.load(Ordering::SeqCst) {
-                return;
-            }
-            listener.await;
-        }
-    }
-
     /// Whether the host can serve: it knows a configuration and at least one
     /// instance, and is not leaving.
     #[must_use]
--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -17,6 +17,7 @@
 use crate::context::SharedContext;
 use crate::entry::reads::run_read;
 use crate::entry::router::{RoutedAnswer, send_to_host, send_work};
+use crate::leaving::LeaveStage;
 use crate::records::EndedRequest;
 use crate::report::{StatementReport, StatementStart};
 use crate::statement::{
@@ -134,8 +135,7 @@
             match message {
                 CallerMessage::Terminate => return Ok(()),
                 CallerMessage::Statement { id, statement } => {
-                    // Boxed, so that an idle session takes little memory.
-                    Box::pin(self.handle(id, statement)).await;
+                    self.handle_in_time(id, statement).await;
                 }
                 CallerMessage::Startup { .. } => {
                     self.refuse(ErrorKind::Malformed, "the session is already open");
@@ -156,14 +156,14 @@
             self.input.resize(start + READ_BYTES, 0);
             let is_started = !self.endpoint.name.is_empty();
             let is_idle = start == 0 && matches!(self.transaction, SessionTransaction::Idle);
-            let may_close = is_started && is_idle;
+            let closes_in = if is_started && is_idle {
+                LeaveStage::Closing
+            } else {
+                LeaveStage::Ending
+            };
             let context = self.context.clone();
             let closing = async {
-                if may_close {
-                    context.wait_until_closing().await;
-                } else {
-                    std::future::pending::<()>().await;
-                }
+                context.leave_progress.wait_for(closes_in).await;
                 Ok(0)
             };
             let read = self.stream.read(&mut self.input[start..]).or(closing).await;
@@ -252,6 +252,42 @@
         }
     }
 
+    /// Handles a statement. If the host ends first, the caller is told that the
+    /// outcome is unknown.
+    async fn handle_in_time(&mut self, id: StatementId, statement: CallerStatement) {
+        let (own_id, text) = (id.clone(), statement.text());
+        let writes = match &statement {
+            CallerStatement::Write(_) | CallerStatement::Commit => true,
+            CallerStatement::Execute { name, .. } => {
+                self.prepared.get(name).is_some_and(|shape| shape.writes)
+            }
+            _ => false,
+        };
+        let context = self.context.clone();
+        let ending = async {
+            context.leave_progress.wait_for(LeaveStage::Ending).await;
+            false
+        };
+        // Boxed, so that an idle session takes little memory.
+        let handling = Box::pin(async {
+            self.handle(id, statement).await;
+            true
+        });
+        if handling.or(ending).await {
+            return;
+        }
+        let Some((kind, why)) = caller_error(&WorkAnswer::Unknown, writes) else {
+            return;
+        };
+        log::warn!("request {own_id} was under way when the host ended, its outcome is unknown");
+        self.record_request(&own_id, &text, Some(kind), "");
+        self.transaction = match self.transaction {
+            SessionTransaction::Idle => SessionTransaction::Idle,
+            _ => SessionTransaction::Failed,
+        };
+        self.refuse(kind, &why);
+    }
+
     async fn handle(&mut self, id: StatementId, statement: CallerStatement) {
         let ends_transaction = matches!(
             statement,
@@ -403,12 +439,13 @@
     }
 
     fn request(&self, step: WorkStep, statement: WorkStatement) -> WorkRequest {
+        let deadline = Instant::now() + self.endpoint.statement_time;
         WorkRequest {
             database: self.endpoint.database.clone(),
             instance: InstanceId::default(),
             primary_term: None,
             rank: self.endpoint.rank,
-            deadline: Instant::now() + self.endpoint.statement_time,
+            deadline: self.context.leave_progress.limit_deadline(deadline),
             values: self.values.clone(),
             after: None,
             max_age: None,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod departures;
 pub mod entry;
 pub mod history;
+pub mod leaving;
 pub mod owner;
 pub mod peers;
 pub mod port;
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -11,6 +11,7 @@
 use fulmarrill_position::{DatabaseName, Term};
 use fulmarrill_runtime::spawn_supervised;
 use fulmarrill_spread::FeedKind;
+use futures_lite::FutureExt;
 use smol::net::TcpListener;
 use smol::{Executor, Task, Timer};
 
@@ -21,6 +22,7 @@
 use crate::control::{ControlEvent, ControlState};
 use crate::entry::reads::run_owned;
 use crate::entry::session::serve_caller;
+use crate::leaving::LeaveStage;
 use crate::peers::{LINK_TIMING, ProxyCall, ProxyProtocol, ProxyReply};
 use crate::records::{RequestCopy, run_record_copies};
 use crate::relay::update::answer_request;
@@ -151,26 +153,43 @@
     }
 }
 
-/// Accepts callers on `listener` until the task is dropped.
+/// Accepts callers on `listener` until the host closes its sessions, and serves them until the task
+/// is dropped.
 pub async fn accept_callers(context: SharedContext, listener: TcpListener) {
     let executor = Executor::new();
-    executor
-        .run(async {
-            loop {
-                match listener.accept().await {
-                    Ok((stream, _)) => {
-                        executor
-                            .spawn(serve_caller(context.clone(), stream))
-                            .detach();
-                    }
-                    Err(error) => {
-                        log::warn!("a caller cannot be accepted: {error}");
-                        Timer::after(UPKEEP_INTERVAL).await;
-                    }
-                }
+    let serving = async {
+        let closing = async {
+            let progress = &context.leave_progress;
+            progress.wait_for(LeaveStage::Closing).await;
+        };
+        accept_until_dropped(&context, &listener, &executor)
+            .or(closing)
+            .await;
+        // A closed port refuses callers at once, and they go elsewhere.
+        drop(listener);
+        std::future::pending::<()>().await;
+    };
+    executor.run(serving).await;
+}
+
+async fn accept_until_dropped(
+    context: &SharedContext,
+    listener: &TcpListener,
+    executor: &Executor<'_>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                executor
+                    .spawn(serve_caller(context.clone(), stream))
+                    .detach();
             }
-        })
-        .await;
+            Err(error) => {
+                log::warn!("a caller cannot be accepted: {error}");
+                Timer::after(UPKEEP_INTERVAL).await;
+            }
+        }
+    }
 }
 
 /// Answers calls of other hosts on `listener` until the task is dropped.
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -4,6 +4,8 @@
 mod drivers;
 mod failover;
 mod failures;
+#[path = "../platform/tests/processes/leaving.rs"]
+mod leaving;
 mod processes;
 mod records;
 mod settings_file;
