Take no position from a commit without a write at the entry (STALE)

Change: the session knows whether its transaction wrote, and only then the position of its commit is recorded.

Test: fleet::changes::entry_trusts_no_position_of_a_primary_that_stepped_down failed before, passes now.

--- a/crates/proxy/src/entry/router.rs
+++ b/crates/proxy/src/entry/router.rs
@@ -73,7 +73,7 @@
             break;
         }
         tried += 1;
-        result = send_to_host(context, &host.name, &host.address, request.clone()).await;
+        result = send_to_host(context, &host.name, &host.address, request.clone(), true).await;
         let should_try_next = matches!(
             result,
             WorkAnswer::NotRun(NotRunReason::NoOwner | NotRunReason::Unreachable)
@@ -99,12 +99,15 @@
     }
 }
 
-/// Sends work to one host.
+/// Sends work to one host. `shows_lead` says whether only an instance that leads serves
+/// it at the primary: one that stepped down still commits a transaction that wrote
+/// nothing.
 pub async fn send_to_host(
     context: &SharedContext,
     host: &str,
     address: &str,
     mut request: WorkRequest,
+    shows_lead: bool,
 ) -> WorkAnswer {
     let instance = request.instance.clone();
     let database = request.database.clone();
@@ -134,7 +137,7 @@
     let served = match &answer {
         WorkAnswer::Served { point, pin, .. } => {
             // Inside a transaction the position may be that of its snapshot.
-            if let (Some(_), Some(point), None) = (primary_term, point, pin) {
+            if let (Some(_), Some(point), None, true) = (primary_term, point, pin, shows_lead) {
                 // The instance answered after `sent_at`, so the position covers
                 // every commit acknowledged up to `sent_at`.
                 context.entry.record_position(&database, sent_at, *point);
--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -58,6 +58,8 @@
     instance: InstanceId,
     primary_term: Option<Term>,
     pin: PinId,
+    /// Whether one of its statements wrote.
+    has_written: bool,
 }
 
 /// The session's transaction, as the caller sees it.
@@ -433,7 +435,7 @@
         request.deadline = Instant::now() + ABANDON_TIMEOUT;
         let context = self.context.clone();
         fulmarrill_runtime::spawn(async move {
-            continue_work(&context, &open.owner, request).await;
+            continue_work(&context, &open.owner, request, false).await;
         })
         .detach();
     }
@@ -487,7 +489,7 @@
         request.database.clone_from(&open.database);
         request.instance = open.instance.clone();
         request.primary_term = open.primary_term;
-        let answer = continue_work(&self.context, &open.owner, request).await;
+        let answer = continue_work(&self.context, &open.owner, request, open.has_written).await;
         RoutedAnswer {
             answer,
             owner: open.owner.clone(),
@@ -559,6 +561,10 @@
         if let (Some(_), true, None, Some(point)) = (routed.primary_term, writes, pin, point) {
             self.own_commits.advance(&routed.database, point);
         }
+        let has_written = match &self.transaction {
+            SessionTransaction::Open(open) => open.has_written,
+            _ => false,
+        };
         self.transaction = match pin {
             Some(pin) => SessionTransaction::Open(OpenTransaction {
                 owner: routed.owner,
@@ -566,6 +572,7 @@
                 instance: routed.instance,
                 primary_term: routed.primary_term,
                 pin,
+                has_written: has_written || writes,
             }),
             None => SessionTransaction::Idle,
         };
@@ -601,12 +608,17 @@
 }
 
 /// Sends a statement of an open transaction to the owner that holds it.
-async fn continue_work(context: &SharedContext, owner: &str, request: WorkRequest) -> WorkAnswer {
+async fn continue_work(
+    context: &SharedContext,
+    owner: &str,
+    request: WorkRequest,
+    has_written: bool,
+) -> WorkAnswer {
     let view = context.view.load();
     let Some(host) = view.host(owner) else {
         return WorkAnswer::NotRun(NotRunReason::TransactionLost);
     };
-    send_to_host(context, owner, &host.address, request).await
+    send_to_host(context, owner, &host.address, request, has_written).await
 }
 
 /// Runs a request at the primary. Until its deadline it is tried again if it
