Take no refused connection for the end of a holder (ONE)

Cause: a refused connection counted as proof that a holder's process had ended, so its lease was not waited for. A partition refuses connections, too. Ruled out: the lease (silent cuts broke nothing, and the log names no holder that was waited for).

Change: only an answer or the list of hosts proves an end.

--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -17,7 +17,6 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use fulmarrill_link::LinkError;
 use fulmarrill_position::{LogPoint, Term};
 use futures_util::future::join_all;
 use smol::Timer;
@@ -347,10 +346,11 @@
             run: run.clone(),
         };
         let deadline = Instant::now() + REQUEST_TIMEOUT;
-        match self.context.peers.call(&host.address, call, deadline).await {
-            Ok(ProxyReply::Released) | Err(LinkError::ConnectionRefused(_)) => true,
-            Ok(_) | Err(_) => false,
-        }
+        // A refused connection proves nothing: a partition may refuse it as well as the
+        // host of a process that has ended. One that starts again answers for its
+        // earlier runs.
+        let reply = self.context.peers.call(&host.address, call, deadline).await;
+        matches!(reply, Ok(ProxyReply::Released))
     }
 
     /// The instance with the newest log among those that answer, if it may be
