Serve a primary that restarted under a new id (RECOVER)

Cause: the term record names the old id. The address refused that id and the refusal counted as reached, so it was not replaced; where it was, the restarted primary had the newest log and the platform promotes no primary. Told apart by the two log lines "another host reaches the primary" and "was not replaced in time".

Change: an instance that reports to lead the term of the record is entered as its primary, since one at most leads a term; no order is sent. A change that has begun tells it to step down first. A refused id counts as no answer.

--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -166,7 +166,8 @@
         }
         let held = (port.read_term)(database.clone()).await;
         let (held, held_version) = held.flatten()?;
-        let is_reservable = held.term == old_term && held.changed_by.is_none();
+        let is_same_primary = held.primary == record.primary;
+        let is_reservable = held.term == old_term && is_same_primary && held.changed_by.is_none();
         if !is_reservable || held_version == version {
             return None;
         }
@@ -386,7 +387,13 @@
                 Some(_) => DatabaseCommand::Status,
                 None => DatabaseCommand::Pause(term),
             };
-            let status = self.command(instance, command).await.status()?;
+            let mut status = self.command(instance, command).await.status()?;
+            if status.role == DatabaseRole::Primary && status.term < term {
+                // The old primary, restarted under a new id. The platform promotes
+                // replicas only.
+                let command = DatabaseCommand::StepDown(term);
+                status = self.command(instance, command).await.status()?;
+            }
             Some(ChangeCandidate { instance, status })
         });
         let answers = join_all(asking).await;
--- a/crates/proxy/src/control/plan.rs
+++ b/crates/proxy/src/control/plan.rs
@@ -4,7 +4,7 @@
 
 use fulmarrill_position::DatabaseName;
 
-use crate::catalogue::{InstanceEntry, InstanceId, ObjectVersion, TermRecord};
+use crate::catalogue::{InstanceEntry, InstanceId, ObjectVersion, RunName, TermRecord};
 use crate::codec::DatabaseRole;
 use crate::control::{ControlState, MISSING_GRACE_TIME, OwnListing};
 use crate::view::routes::rank_of;
@@ -100,6 +100,9 @@
             match self.terms.get(database).cloned() {
                 None => self.plan_first_term(&view, database, &mut actions),
                 Some(term) => {
+                    if self.plan_renamed_primary(&view, &term, &mut actions) {
+                        continue;
+                    }
                     self.plan_holder_join(now, &view, &term, &mut actions);
                     actions.extend(self.plan_handed_over(&term));
                     actions.extend(self.plan_change(now, &view, &term));
@@ -199,6 +202,57 @@
         })
     }
 
+    /// Plans to enter a primary that restarted under a new id into the record of its
+    /// term, and returns whether it does. One instance at most leads a term, so one that
+    /// reports to lead this term is the same primary, with its log.
+    fn plan_renamed_primary(
+        &self,
+        view: &TrafficView,
+        term: &TermView,
+        actions: &mut Vec<ControlAction>,
+    ) -> bool {
+        let record = &term.record;
+        if record.changed_by.is_some() {
+            return false;
+        }
+        let earlier = self.instances.get(&record.primary);
+        for instance in view.instances_of(&record.database) {
+            let is_later = earlier.is_none_or(|known| instance.started_ms > known.started_ms);
+            if instance.id == record.primary
+                || instance.role != DatabaseRole::Primary
+                || !is_later
+                || self.owner_index(view, instance) >= PREFERRED_HOLDERS
+            {
+                continue;
+            }
+            let Some(&led) = self.leader_terms.get(&instance.id) else {
+                actions.push(ControlAction::QueryTerm(instance.id.clone()));
+                continue;
+            };
+            if led != record.term {
+                continue;
+            }
+            let mut renamed = record.clone();
+            renamed.primary.clone_from(&instance.id);
+            renamed.holders = self.preferred_holders(view, instance);
+            actions.push(ControlAction::WriteTerm {
+                record: renamed,
+                if_version: term.version,
+            });
+            return true;
+        }
+        false
+    }
+
+    /// The runs of the preferred owners of an instance.
+    fn preferred_holders(&self, view: &TrafficView, instance: &InstanceEntry) -> Vec<RunName> {
+        let region = self.regions.get(&instance.data_centre);
+        let region = region.map(compact_str::CompactString::as_str);
+        let owners = view.owner_candidates(instance, region);
+        let owners = owners.take(PREFERRED_HOLDERS);
+        owners.map(|host| host.run.clone()).collect()
+    }
+
     /// Plans the first term record of a database, with the present primary.
     fn plan_first_term(
         &self,
@@ -215,21 +269,12 @@
                 actions.push(ControlAction::QueryTerm(instance.id.clone()));
                 continue;
             };
-            let region = self.regions.get(&instance.data_centre);
-            let region = region.map(compact_str::CompactString::as_str);
-            let mut holders = Vec::new();
-            for host in view
-                .owner_candidates(instance, region)
-                .take(PREFERRED_HOLDERS)
-            {
-                holders.push(host.run.clone());
-            }
             let record = TermRecord {
                 database: database.into(),
                 term,
                 primary: instance.id.clone(),
                 fence: 0,
-                holders,
+                holders: self.preferred_holders(view, instance),
                 changed_by: None,
             };
             let if_version = 0;
--- a/crates/proxy/src/owner/connection.rs
+++ b/crates/proxy/src/owner/connection.rs
@@ -42,6 +42,16 @@
 }
 
 impl ConnectionError {
+    /// Whether the instance answered an attempt to connect. One that is gone does not:
+    /// another instance at its address refuses its id.
+    #[must_use]
+    pub fn is_answer(&self) -> bool {
+        !matches!(
+            self,
+            Self::Connect(_) | Self::Refused(ErrorKind::Misrouted, _)
+        )
+    }
+
     fn lost(error: &io::Error) -> Self {
         Self::Lost(error.to_string().into())
     }
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -269,7 +269,9 @@
         loop {
             let result = self.pool.take(values, deadline).await;
             match &result {
-                Err(ConnectionError::Connect(_)) => self.monitor.record_connect_failure(),
+                Err(
+                    ConnectionError::Connect(_) | ConnectionError::Refused(ErrorKind::Misrouted, _),
+                ) => self.monitor.record_connect_failure(),
                 // The instance may still count those of an earlier owner.
                 Err(ConnectionError::Refused(ErrorKind::TooManyConnections, _))
                     if Instant::now() + TOO_MANY_CONNECTIONS_BACKOFF < deadline =>
@@ -284,8 +286,8 @@
         }
     }
 
-    /// Tries to connect and returns whether the instance answered. A refusal is an
-    /// answer.
+    /// Tries to connect and returns whether the instance answered, see
+    /// [`ConnectionPool::probe`].
     pub async fn probe(&self) -> bool {
         let probed = self.pool.probe().await;
         if probed {
--- a/crates/proxy/src/owner/pool.rs
+++ b/crates/proxy/src/owner/pool.rs
@@ -203,11 +203,11 @@
     }
 
     /// Sets up a connection outside the pool and returns whether the instance
-    /// answered. A refusal is an answer.
+    /// answered. A refusal is an answer, unless it comes from another instance.
     pub async fn probe(&self) -> bool {
         let deadline = Instant::now() + PROBE_TIMEOUT;
         let connecting = DatabaseConnection::connect(self.codec, &self.instance, deadline);
-        !matches!(connecting.await, Err(ConnectionError::Connect(_)))
+        connecting.await.err().is_none_or(|error| error.is_answer())
     }
 
     /// Opens no connection before `until`, after the instance reported too many:
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -414,6 +414,54 @@
     assert_eq!(state.plan(now + Duration::from_secs(3)), [expected]);
 }
 
+/// Guards against a database that is never served again: its primary restarted within
+/// a second, with its log and under a new id, and neither counted as the primary of its
+/// term nor as gone.
+#[rstest]
+#[case::old_entry_has_expired(false)]
+#[case::old_entry_is_still_listed(true)]
+fn primary_that_restarted_under_a_new_id_keeps_its_term(#[case] keeps_old_entry: bool) {
+    let now = Instant::now();
+    let (mut state, _) = with_term(now, record(&[OWN_RUN]));
+    let mut list = primary_and_replica();
+    if !keeps_old_entry {
+        list.remove(0);
+    }
+    let mut restarted = instance("z", DatabaseRole::Primary);
+    restarted.started_ms = 2;
+    list.push(restarted);
+    state.handle(now, instances_event(list));
+    assert_eq!(state.plan(now), [ControlAction::QueryTerm("z".into())]);
+    let instance = "z".into();
+    state.handle(now, ControlEvent::LeaderTerm { instance, term: 3 });
+    let mut renamed = record(&[OWN_RUN]);
+    renamed.primary = "z".into();
+    let expected = ControlAction::WriteTerm {
+        record: renamed,
+        if_version: 5,
+    };
+    assert_eq!(state.plan(now), [expected]);
+}
+
+/// An instance that leads an earlier term, or an earlier run of the primary, does not
+/// take its place.
+#[rstest]
+#[case::earlier_term(2, 2)]
+#[case::later_term(4, 2)]
+#[case::earlier_start(3, 0)]
+fn other_primary_is_not_entered_into_a_term(#[case] term: u64, #[case] started_ms: u64) {
+    let now = Instant::now();
+    let (mut state, _) = with_term(now, record(&[OWN_RUN]));
+    let mut list = primary_and_replica();
+    let mut other = instance("z", DatabaseRole::Primary);
+    other.started_ms = started_ms;
+    list.push(other);
+    state.handle(now, instances_event(list));
+    let instance = "z".into();
+    state.handle(now, ControlEvent::LeaderTerm { instance, term });
+    assert_eq!(state.plan(now), []);
+}
+
 /// The control state gets events many times per second, so expiry must not depend
 /// on a pause between them.
 #[test]
