Count answers that an instance gives twice, and malformed messages of callers

New: fulmarrill_repeated_answers_total by instance (a proof given before on the connection, or bytes that arrived before the command was sent), the same in the tally of the instance's refusals, and fulmarrill_malformed_messages_total. No decision depends on them.

--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -142,7 +142,11 @@
                 CallerMessage::Startup { .. } => {
                     self.refuse(ErrorKind::Malformed, "the session is already open");
                 }
-                CallerMessage::Malformed(why) => self.refuse(ErrorKind::Malformed, &why),
+                CallerMessage::Malformed(why) => {
+                    log::debug!("{}: message refused: {why}", self.endpoint.name);
+                    self.context.statements.record_malformed();
+                    self.refuse(ErrorKind::Malformed, &why);
+                }
             }
             self.flush().await?;
         }
--- a/crates/proxy/src/owner.rs
+++ b/crates/proxy/src/owner.rs
@@ -224,7 +224,10 @@
             owner.trim(now);
             owner.shed(now);
             if let Some(counts) = owner.refusals().take_due(now) {
-                log::info!("instance {} refused to run: {counts:?}", owner.id());
+                log::info!(
+                    "instance {} refused to run or answered twice: {counts:?}",
+                    owner.id()
+                );
             }
             if owner.monitor().begin_probe(now) {
                 fulmarrill_runtime::spawn(async move { owner.probe().await }).detach();
@@ -232,6 +235,19 @@
         }
     }
 
+    /// Returns how many answers each instance gave twice since the last call.
+    #[must_use]
+    pub fn take_repeated_answers(&self) -> Vec<(InstanceId, u64)> {
+        let mut counts = Vec::new();
+        for owner in self.all() {
+            let repeated = owner.take_repeated_answers();
+            if repeated > 0 {
+                counts.push((owner.id().clone(), repeated));
+            }
+        }
+        counts
+    }
+
     /// Returns the instances that this host cannot reach.
     #[must_use]
     pub fn unreachable_instances(&self, now: Instant) -> BTreeSet<InstanceId> {
--- a/crates/proxy/src/owner/connection.rs
+++ b/crates/proxy/src/owner/connection.rs
@@ -1,5 +1,6 @@
 //! One connection to an instance.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -11,6 +12,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::catalogue::InstanceEntry;
 use crate::codec::{
@@ -20,6 +22,11 @@
 
 /// Size of one read from the socket.
 const READ_BYTES: usize = 16 << 10;
+/// Proofs that a connection remembers: those of some seconds at the highest rate of
+/// a connection.
+const PROOFS_MAX: usize = 512;
+/// Proof in the answers to the proxy's own commands.
+const ABSENT_PROOF: &str = "-";
 
 /// Why a connection cannot be used.
 #[derive(Debug, Error)]
@@ -91,6 +98,30 @@
     }
 }
 
+/// The answers that a connection has given.
+#[derive(Debug, Default)]
+struct AnswerHistory {
+    /// Hashes of the last proofs.
+    proofs: VecDeque<u64>,
+    repeated: u64,
+}
+
+impl AnswerHistory {
+    fn record_proof(&mut self, proof: &str) {
+        if proof == ABSENT_PROOF {
+            return;
+        }
+        let hash = xxh3_64(proof.as_bytes());
+        if self.proofs.contains(&hash) {
+            self.repeated += 1;
+        }
+        if self.proofs.len() == PROOFS_MAX {
+            self.proofs.pop_front();
+        }
+        self.proofs.push_back(hash);
+    }
+}
+
 /// A connection to an instance on which no answer is outstanding.
 #[derive(Debug)]
 pub struct DatabaseConnection {
@@ -98,11 +129,19 @@
     stream: TcpStream,
     input: BytesMut,
     output: Vec<u8>,
+    history: Box<AnswerHistory>,
     /// Position that the instance reported last.
     pub point: Option<LogPoint>,
 }
 
 impl DatabaseConnection {
+    /// Returns how many answers repeated an earlier one: their proof was given before,
+    /// or they arrived before the command that they would answer was sent.
+    #[must_use]
+    pub fn repeated_answers(&self) -> u64 {
+        self.history.repeated
+    }
+
     /// Connects to an instance. The startup message names its database and id, so
     /// that another instance at the address can refuse.
     ///
@@ -128,6 +167,7 @@
                 stream,
                 input: BytesMut::new(),
                 output: Vec::new(),
+                history: Box::default(),
                 point: None,
             };
             (codec.encode_startup)(&instance.database, &instance.id, &mut connection.output);
@@ -186,7 +226,10 @@
         loop {
             match self.read_message().await? {
                 DatabaseMessage::Row(row) => rows.push(row),
-                DatabaseMessage::Done(proof) => outcome = Some(Ok(proof)),
+                DatabaseMessage::Done(proof) => {
+                    self.history.record_proof(&proof);
+                    outcome = Some(Ok(proof));
+                }
                 DatabaseMessage::Error(kind, text) => outcome = Some(Err((kind, text))),
                 DatabaseMessage::Ready(state, point) => {
                     let Some(outcome) = outcome else {
@@ -216,6 +259,9 @@
         commands: &[DatabaseCommand],
         deadline: Instant,
     ) -> Result<Vec<DatabaseAnswer>, ConnectionError> {
+        if !self.input.is_empty() {
+            self.history.repeated += 1;
+        }
         for command in commands {
             (self.codec.encode)(command, &mut self.output);
         }
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -149,6 +149,17 @@
         &self.refusals
     }
 
+    /// Returns how many answers the instance gave twice since the last call, and adds
+    /// them to the tally.
+    #[must_use]
+    pub fn take_repeated_answers(&self) -> u64 {
+        let repeated = self.pool.take_repeated_answers();
+        if repeated > 0 {
+            self.refusals.record_repeated(repeated);
+        }
+        repeated
+    }
+
     /// Returns the monitor of the instance's answers.
     #[must_use]
     pub fn monitor(&self) -> &InstanceMonitor {
--- a/crates/proxy/src/owner/pool.rs
+++ b/crates/proxy/src/owner/pool.rs
@@ -1,6 +1,7 @@
 //! A bounded pool of connections from one owner to one instance.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -99,6 +100,9 @@
     limit: usize,
     state: Mutex<PoolState>,
     freed: Event,
+    /// Repeated answers on connections that were given back or closed, not yet taken
+    /// by a report.
+    repeated_answers: AtomicU64,
 }
 
 impl ConnectionPool {
@@ -111,6 +115,7 @@
             limit,
             state: Mutex::default(),
             freed: Event::new(),
+            repeated_answers: AtomicU64::new(0),
         })
     }
 
@@ -185,6 +190,12 @@
         self.state().paused_until
     }
 
+    /// Returns how many answers were repeated since the last call.
+    #[must_use]
+    pub fn take_repeated_answers(&self) -> u64 {
+        self.repeated_answers.swap(0, Ordering::Relaxed)
+    }
+
     fn release_permit(&self) {
         self.state().open -= 1;
         self.freed.notify(1);
@@ -287,12 +298,15 @@
 pub struct PoolLease {
     pool: Arc<ConnectionPool>,
     pooled: Option<PooledConnection>,
+    /// Repeated answers on the connection when it was taken.
+    repeated_before: u64,
 }
 
 impl PoolLease {
     fn new(pool: &Arc<ConnectionPool>, pooled: PooledConnection) -> Self {
         Self {
             pool: pool.clone(),
+            repeated_before: pooled.connection.repeated_answers(),
             pooled: Some(pooled),
         }
     }
@@ -306,10 +320,19 @@
         self.pooled.as_mut().expect("a lease holds its connection")
     }
 
+    fn take_pooled(&mut self) -> Option<PooledConnection> {
+        let pooled = self.pooled.take()?;
+        let repeated = pooled.connection.repeated_answers() - self.repeated_before;
+        self.pool
+            .repeated_answers
+            .fetch_add(repeated, Ordering::Relaxed);
+        Some(pooled)
+    }
+
     /// Returns the connection to the pool. No answer may be outstanding on it and
     /// no transaction open.
     pub fn release(mut self) {
-        if let Some(pooled) = self.pooled.take() {
+        if let Some(pooled) = self.take_pooled() {
             self.pool.put_back(pooled);
         }
     }
@@ -317,7 +340,7 @@
 
 impl Drop for PoolLease {
     fn drop(&mut self) {
-        if self.pooled.take().is_some() {
+        if self.take_pooled().is_some() {
             self.pool.release_permit();
         }
     }
--- a/crates/proxy/src/owner/refusals.rs
+++ b/crates/proxy/src/owner/refusals.rs
@@ -9,6 +9,9 @@
 /// Least time between two log lines about the refusals of one instance.
 const REPORT_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Name under which answers that the instance gave twice are counted.
+const REPEATED_NAME: &str = "answered_twice";
+
 /// Refusals by the name of their reason.
 pub type RefusalCounts = BTreeMap<&'static str, u64>;
 
@@ -40,6 +43,13 @@
         *state.unreported.entry(kind.name()).or_default() += 1;
     }
 
+    /// Counts answers that the instance gave twice.
+    pub fn record_repeated(&self, count: u64) {
+        let mut state = self.state();
+        *state.total.entry(REPEATED_NAME).or_default() += count;
+        *state.unreported.entry(REPEATED_NAME).or_default() += count;
+    }
+
     /// All refusals so far.
     #[must_use]
     pub fn total(&self) -> RefusalCounts {
--- a/crates/proxy/src/report.rs
+++ b/crates/proxy/src/report.rs
@@ -115,6 +115,8 @@
     statements: Counter<u64>,
     times: Histogram<f64>,
     list_ages: Gauge<f64>,
+    malformed: Counter<u64>,
+    repeated: Counter<u64>,
     budget: Mutex<LineBudget>,
 }
 
@@ -136,6 +138,14 @@
                 "fulmarrill_confirmed_age_seconds",
                 "Time since the store is known to have held a list",
             ),
+            malformed: registry.counter(
+                "fulmarrill_malformed_messages",
+                "Messages of callers that cannot be parsed",
+            ),
+            repeated: registry.counter(
+                "fulmarrill_repeated_answers",
+                "Answers that an instance gave twice",
+            ),
             registry,
             budget: Mutex::new(LineBudget::new(Instant::now())),
         }
@@ -147,6 +157,17 @@
         self.list_ages.record(age.as_secs_f64(), &labels);
     }
 
+    /// Counts a message of a caller that cannot be parsed.
+    pub fn record_malformed(&self) {
+        self.malformed.add(1, &[]);
+    }
+
+    /// Counts answers that an instance gave twice.
+    pub fn record_repeated(&self, instance: &str, count: u64) {
+        let labels = [KeyValue::new("instance", instance.to_owned())];
+        self.repeated.add(count, &labels);
+    }
+
     /// Renders the metrics as Prometheus text.
     #[must_use]
     pub fn render(&self) -> String {
