--- a/crates/proxy/src/codec.rs
+++ b/crates/proxy/src/codec.rs
@@ -181,6 +181,9 @@
     Pause(Term),
     /// Makes a primary step down in favour of this later term.
     StepDown(Term),
+    /// Prepares a statement that is never run. Its answer marks the end of the answers
+    /// to the commands before it.
+    Marker(CompactString, PreparedShape),
 }
 
 impl DatabaseCommand {
@@ -192,6 +195,22 @@
             Self::Run { .. } | Self::Execute { .. } | Self::Commit(_) | Self::Status
         )
     }
+
+    /// Whether the command is a statement of a caller, whose success comes with a
+    /// proof.
+    #[must_use]
+    pub fn is_callers(&self) -> bool {
+        matches!(
+            self,
+            Self::Run { .. } | Self::Execute { .. } | Self::Commit(_)
+        )
+    }
+
+    /// Whether one row with the status of the instance answers the command.
+    #[must_use]
+    pub fn answers_status(&self) -> bool {
+        matches!(self, Self::Status | Self::Pause(_) | Self::StepDown(_))
+    }
 }
 
 /// A message from an instance.
@@ -199,8 +218,8 @@
 pub enum DatabaseMessage {
     /// One row.
     Row(CompactString),
-    /// Success, with the proof that the instance returned.
-    Done(CompactString),
+    /// Success, with the proof that the instance returned, if any.
+    Done(Option<CompactString>),
     /// Failure, with its text.
     Error(ErrorKind, CompactString),
     /// Ends an answer.
--- a/crates/proxy/src/owner.rs
+++ b/crates/proxy/src/owner.rs
@@ -6,6 +6,7 @@
 pub mod instance;
 pub mod lead;
 pub mod monitor;
+pub mod pairing;
 pub mod pool;
 pub mod position;
 pub mod progress;
--- a/crates/proxy/src/owner/connection.rs
+++ b/crates/proxy/src/owner/connection.rs
@@ -1,37 +1,35 @@
 //! One connection to an instance.
 
-use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::BytesMut;
 use compact_str::CompactString;
 use fulmarrill_position::LogPoint;
 use fulmarrill_runtime::timeout_at;
+use futures_lite::future::poll_once;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 use thiserror::Error;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::catalogue::InstanceEntry;
 use crate::codec::{
     CodecError, DatabaseCodec, DatabaseCommand, DatabaseMessage, DatabaseStatus, ErrorKind,
 };
+use crate::owner::pairing::{AnswerHistory, ExchangeStep, PendingExchange, ProofVariety};
 use crate::statement::TransactionState;
 
 /// Size of one read from the socket.
 const READ_BYTES: usize = 16 << 10;
-/// Proofs that a connection remembers: those of some seconds at the highest rate of
-/// a connection.
-const PROOFS_MAX: usize = 512;
-/// Proof in the answers to the proxy's own commands.
-const ABSENT_PROOF: &str = "-";
+/// Size of one read of what has arrived before a command is sent; usually nothing.
+const ARRIVED_BYTES: usize = 512;
 
 /// Why a connection cannot be used.
 #[derive(Debug, Error)]
 pub enum ConnectionError {
-    /// It cannot be set up; no statement was sent.
+    /// It cannot be set up, or was closed while idle; no statement was sent.
     #[error("cannot connect: {0}")]
     Connect(CompactString),
     /// The instance refused it; nothing was run.
@@ -46,6 +44,9 @@
     /// The instance sent bytes that are no message of the protocol.
     #[error(transparent)]
     Codec(#[from] CodecError),
+    /// The messages of an answer are not in an order that the protocol allows.
+    #[error("malformed answer: {0}")]
+    Malformed(&'static str),
 }
 
 impl ConnectionError {
@@ -69,8 +70,9 @@
 pub struct DatabaseAnswer {
     /// Rows as the instance sent them.
     pub rows: Vec<CompactString>,
-    /// The instance's proof of execution, or the kind and text of the failure.
-    pub outcome: Result<CompactString, (ErrorKind, CompactString)>,
+    /// The instance's proof of execution, if it gave one, or the kind and text of the
+    /// failure.
+    pub outcome: Result<Option<CompactString>, (ErrorKind, CompactString)>,
     /// State of the connection's transaction afterwards.
     pub state: TransactionState,
     /// Position of the instance's log, if it reported one.
@@ -98,27 +100,50 @@
     }
 }
 
-/// The answers that a connection has given.
+/// The messages of an answer that have arrived so far.
 #[derive(Debug, Default)]
-struct AnswerHistory {
-    /// Hashes of the last proofs.
-    proofs: VecDeque<u64>,
-    repeated: u64,
+struct PartialAnswer {
+    rows: Vec<CompactString>,
+    outcome: Option<Result<Option<CompactString>, (ErrorKind, CompactString)>>,
 }
 
-impl AnswerHistory {
-    fn record_proof(&mut self, proof: &str) {
-        if proof == ABSENT_PROOF {
-            return;
-        }
-        let hash = xxh3_64(proof.as_bytes());
-        if self.proofs.contains(&hash) {
-            self.repeated += 1;
+impl PartialAnswer {
+    fn is_empty(&self) -> bool {
+        self.rows.is_empty() && self.outcome.is_none()
+    }
+
+    fn set_outcome(
+        &mut self,
+        outcome: Result<Option<CompactString>, (ErrorKind, CompactString)>,
+    ) -> Result<(), ConnectionError> {
+        match self.outcome.replace(outcome) {
+            None => Ok(()),
+            Some(_) => Err(ConnectionError::Malformed("it has two outcomes")),
         }
-        if self.proofs.len() == PROOFS_MAX {
-            self.proofs.pop_front();
+    }
+
+    /// Adds a message and returns the answer if that ends it.
+    fn add(&mut self, message: DatabaseMessage) -> Result<Option<DatabaseAnswer>, ConnectionError> {
+        match message {
+            DatabaseMessage::Row(_) if self.outcome.is_some() => {
+                return Err(ConnectionError::Malformed("a row follows its outcome"));
+            }
+            DatabaseMessage::Row(row) => self.rows.push(row),
+            DatabaseMessage::Done(proof) => self.set_outcome(Ok(proof))?,
+            DatabaseMessage::Error(kind, text) => self.set_outcome(Err((kind, text)))?,
+            DatabaseMessage::Ready(state, point) => {
+                let Some(outcome) = self.outcome.take() else {
+                    return Err(ConnectionError::Malformed("it has no outcome"));
+                };
+                return Ok(Some(DatabaseAnswer {
+                    rows: std::mem::take(&mut self.rows),
+                    outcome,
+                    state,
+                    point,
+                }));
+            }
         }
-        self.proofs.push_back(hash);
+        Ok(None)
     }
 }
 
@@ -129,21 +154,16 @@
     stream: TcpStream,
     input: BytesMut,
     output: Vec<u8>,
+    partial: PartialAnswer,
     history: Box<AnswerHistory>,
     /// Position that the instance reported last.
     pub point: Option<LogPoint>,
 }
 
 impl DatabaseConnection {
-    /// Returns how many answers repeated an earlier one: their proof was given before,
-    /// or they arrived before the command that they would answer was sent.
-    #[must_use]
-    pub fn repeated_answers(&self) -> u64 {
-        self.history.repeated
-    }
-
     /// Connects to an instance. The startup message names its database and id, so
-    /// that another instance at the address can refuse.
+    /// that another instance at the address can refuse. All connections to an instance
+    /// share `variety`.
     ///
     /// # Errors
     ///
@@ -151,6 +171,7 @@
     pub async fn connect(
         codec: DatabaseCodec,
         instance: &InstanceEntry,
+        variety: Arc<ProofVariety>,
         deadline: Instant,
     ) -> Result<Self, ConnectionError> {
         let setup = async {
@@ -167,7 +188,8 @@
                 stream,
                 input: BytesMut::new(),
                 output: Vec::new(),
-                history: Box::default(),
+                partial: PartialAnswer::default(),
+                history: Box::new(AnswerHistory::new(variety)),
                 point: None,
             };
             (codec.encode_startup)(&instance.database, &instance.id, &mut connection.output);
@@ -207,44 +229,102 @@
             if let Some(message) = (self.codec.decode)(&mut self.input)? {
                 return Ok(message);
             }
-            let start = self.input.len();
-            self.input.resize(start + READ_BYTES, 0);
-            let read = self.stream.read(&mut self.input[start..]).await;
-            self.input
-                .truncate(start + read.as_ref().map_or(0, |count| *count));
-            match read {
-                Ok(0) => return Err(ConnectionError::Lost("closed by the instance".into())),
-                Ok(_) => {}
-                Err(error) => return Err(ConnectionError::lost(&error)),
+            if self.receive().await? == 0 {
+                return Err(ConnectionError::Lost("closed by the instance".into()));
             }
         }
     }
 
+    /// Reads what has arrived into the input; returns the number of bytes.
+    async fn receive(&mut self) -> Result<usize, ConnectionError> {
+        let start = self.input.len();
+        self.input.resize(start + READ_BYTES, 0);
+        let read = self.stream.read(&mut self.input[start..]).await;
+        self.input
+            .truncate(start + read.as_ref().map_or(0, |count| *count));
+        read.map_err(|error| ConnectionError::lost(&error))
+    }
+
     async fn read_answer(&mut self) -> Result<DatabaseAnswer, ConnectionError> {
-        let mut rows = Vec::new();
-        let mut outcome = None;
         loop {
-            match self.read_message().await? {
-                DatabaseMessage::Row(row) => rows.push(row),
-                DatabaseMessage::Done(proof) => {
-                    self.history.record_proof(&proof);
-                    outcome = Some(Ok(proof));
+            let message = self.read_message().await?;
+            if let Some(answer) = self.add_message(message)? {
+                return Ok(answer);
+            }
+        }
+    }
+
+    /// Adds a message to the partial answer and returns the answer if that ends it.
+    fn add_message(
+        &mut self,
+        message: DatabaseMessage,
+    ) -> Result<Option<DatabaseAnswer>, ConnectionError> {
+        if matches!(message, DatabaseMessage::Ready(..)) && self.partial.is_empty() {
+            // A repeated greeting.
+            self.history.count_repeat();
+            return Ok(None);
+        }
+        self.partial.add(message)
+    }
+
+    /// Reads what has arrived, without waiting; returns the number of bytes, or `None`
+    /// if nothing has arrived.
+    async fn receive_arrived(&mut self) -> Option<Result<usize, ConnectionError>> {
+        let mut bytes = [0; ARRIVED_BYTES];
+        let read = poll_once(self.stream.read(&mut bytes)).await?;
+        if let Ok(count) = read {
+            self.input.extend_from_slice(&bytes[..count]);
+        }
+        Some(read.map_err(|error| ConnectionError::lost(&error)))
+    }
+
+    /// Whether the connection is open and nothing has arrived since the last answer.
+    /// Bytes that have arrived count as a repeated answer.
+    pub async fn is_quiet(&mut self) -> bool {
+        let is_open = match self.receive_arrived().await {
+            None => true,
+            Some(received) => matches!(received, Ok(count) if count > 0),
+        };
+        let has_input = !self.input.is_empty() || !self.partial.is_empty();
+        if has_input {
+            self.history.count_repeat();
+        }
+        is_open && !has_input
+    }
+
+    /// Returns how many answers were recognized as repeats of earlier ones.
+    #[must_use]
+    pub fn repeated_answers(&self) -> u64 {
+        self.history.repeated()
+    }
+
+    /// Whether a repeat of an answer on this connection could be taken for the answer
+    /// to a later statement.
+    #[must_use]
+    pub fn has_ambiguous_answer(&self, now: Instant) -> bool {
+        self.history.has_ambiguous_answer(now)
+    }
+
+    /// Discards what arrived since the last answer: it was sent before the next
+    /// command, so it does not answer that. Returns whether the rest of an answer to
+    /// discard has still to arrive.
+    async fn discard_repeats(&mut self) -> Result<bool, ConnectionError> {
+        loop {
+            while let Some(message) = (self.codec.decode)(&mut self.input)? {
+                if self.add_message(message)?.is_some() {
+                    self.history.count_repeat();
                 }
-                DatabaseMessage::Error(kind, text) => outcome = Some(Err((kind, text))),
-                DatabaseMessage::Ready(state, point) => {
-                    let Some(outcome) = outcome else {
-                        return Err(ConnectionError::Lost("answer without an outcome".into()));
-                    };
-                    self.point = point.or(self.point);
-                    return Ok(DatabaseAnswer {
-                        rows,
-                        outcome,
-                        state,
-                        point,
-                    });
+            }
+            match self.receive_arrived().await {
+                None => break,
+                // No command was sent yet that the instance could have run.
+                Some(Ok(0) | Err(_)) => {
+                    return Err(ConnectionError::Connect("closed by the instance".into()));
                 }
+                Some(Ok(_)) => {}
             }
         }
+        Ok(!self.input.is_empty() || !self.partial.is_empty())
     }
 
     /// Sends commands in one write and reads all of their answers. After an
@@ -259,23 +339,38 @@
         commands: &[DatabaseCommand],
         deadline: Instant,
     ) -> Result<Vec<DatabaseAnswer>, ConnectionError> {
-        if !self.input.is_empty() {
-            self.history.repeated += 1;
+        // Boxed, so that the futures of all owners and sessions stay small.
+        match timeout_at(deadline, Box::pin(self.run_exchange(commands))).await {
+            Ok(result) => result,
+            Err(_) => Err(ConnectionError::Lost("no answer in time".into())),
         }
+    }
+
+    async fn run_exchange(
+        &mut self,
+        commands: &[DatabaseCommand],
+    ) -> Result<Vec<DatabaseAnswer>, ConnectionError> {
+        let is_mid_repeat = self.discard_repeats().await?;
         for command in commands {
             (self.codec.encode)(command, &mut self.output);
         }
-        let exchange = async {
-            self.flush().await?;
-            let mut answers = Vec::with_capacity(commands.len());
-            for _ in commands {
-                answers.push(self.read_answer().await?);
+        self.flush().await?;
+        if is_mid_repeat {
+            self.read_answer().await?;
+            self.history.count_repeat();
+        }
+        let mut pending = PendingExchange::new(commands);
+        loop {
+            let answer = self.read_answer().await?;
+            self.point = answer.point.or(self.point);
+            match pending.offer(&mut self.history, answer, Instant::now()) {
+                ExchangeStep::Wait => {}
+                ExchangeStep::Done => return Ok(pending.into_answers()),
+                ExchangeStep::Send(marker) => {
+                    (self.codec.encode)(&marker, &mut self.output);
+                    self.flush().await?;
+                }
             }
-            Ok(answers)
-        };
-        match timeout_at(deadline, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(ConnectionError::Lost("no answer in time".into())),
         }
     }
 }
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -585,6 +585,14 @@
                 lost_lead: kind == ErrorKind::ReadOnly,
             };
         }
+        let commits = matches!(request.statement, WorkStatement::Commit(_));
+        if request.step != WorkStep::Single && !commits && last.state == TransactionState::Idle {
+            log::error!(
+                "{}: a statement ran outside of its transaction",
+                self.instance.id
+            );
+            return OwnerReport::unknown();
+        }
         let mut mode = pin.map(|pin| pin.mode).unwrap_or_default();
         mode.reads_only |= request.step == WorkStep::Begin { reads_only: true };
         // An instance that stepped down still commits a transaction that wrote
@@ -599,7 +607,7 @@
         };
         let answer = WorkAnswer::Served {
             rows: last.rows,
-            proof: last.outcome.unwrap_or_default(),
+            proof: last.outcome.ok().flatten().unwrap_or_default(),
             point: last.point,
             pin,
         };
@@ -666,13 +674,19 @@
 
     fn exchange_failed(&self, error: &ConnectionError, request: &WorkRequest) -> OwnerReport {
         log::debug!("{}: {error}", self.instance.id);
-        self.pool.close_idle();
+        let is_unsent = matches!(error, ConnectionError::Connect(_));
+        if matches!(error, ConnectionError::Lost(_)) {
+            self.pool.close_idle();
+        }
         // A transaction whose commit was not sent can no longer be committed.
         let in_transaction = request.step != WorkStep::Single;
         let commits = matches!(request.statement, WorkStatement::Commit(_));
-        if in_transaction && !commits {
+        if in_transaction && (is_unsent || !commits) {
             return OwnerReport::not_run(NotRunReason::TransactionLost);
         }
+        if is_unsent {
+            return OwnerReport::not_run(NotRunReason::Unreachable);
+        }
         OwnerReport::unknown()
     }
 
--- a/crates/proxy/src/owner/pool.rs
+++ b/crates/proxy/src/owner/pool.rs
@@ -12,6 +12,7 @@
 use crate::catalogue::InstanceEntry;
 use crate::codec::{DatabaseCodec, DatabaseCommand};
 use crate::owner::connection::{ConnectionError, DatabaseConnection};
+use crate::owner::pairing::ProofVariety;
 use crate::statement::{PreparedShape, SessionValues};
 
 /// Timeout for setting up a connection: several times what an instance takes.
@@ -19,6 +20,8 @@
 /// Timeout of a probe: ten times what an instance takes, and several round trips
 /// between regions.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which an instance that gave an answer twice is expected to do so again.
+const CAUTION_TIME: Duration = Duration::from_mins(1);
 /// Prepared statements on one connection at which it is reset before its next
 /// work outside a transaction.
 const MAX_PREPARED_STATEMENTS: usize = 256;
@@ -90,6 +93,17 @@
     /// No connection is opened before this time, because the instance reported
     /// too many.
     paused_until: Option<Instant>,
+    /// Until this time, connections whose next answers could be mistaken are not
+    /// used, because the instance gave an answer twice.
+    cautious_until: Option<Instant>,
+}
+
+impl PoolState {
+    /// Whether a connection may be used again.
+    fn is_usable(&self, connection: &DatabaseConnection, now: Instant) -> bool {
+        let is_cautious = self.cautious_until.is_some_and(|until| now < until);
+        !is_cautious || !connection.has_ambiguous_answer(now)
+    }
 }
 
 /// A pool of at most `limit` connections to one instance.
@@ -97,11 +111,11 @@
 pub struct ConnectionPool {
     codec: DatabaseCodec,
     instance: InstanceEntry,
+    variety: Arc<ProofVariety>,
     limit: usize,
     state: Mutex<PoolState>,
     freed: Event,
-    /// Repeated answers on connections that were given back or closed, not yet taken
-    /// by a report.
+    /// Repeated answers on closed connections, not yet taken by a report.
     repeated_answers: AtomicU64,
 }
 
@@ -112,6 +126,7 @@
         Arc::new(Self {
             codec,
             instance,
+            variety: Arc::default(),
             limit,
             state: Mutex::default(),
             freed: Event::new(),
@@ -146,7 +161,14 @@
         loop {
             let listener = self.freed.listen();
             if let Some(pooled) = self.take_idle(values) {
-                return Ok(PoolLease::new(self, pooled));
+                let mut lease = PoolLease::new(self, pooled);
+                let connection = &mut lease.get().connection;
+                if connection.is_quiet().await && self.state().is_usable(connection, Instant::now())
+                {
+                    return Ok(lease);
+                }
+                // It was closed, or another answer may arrive that nobody waits for.
+                continue;
             }
             if let Some(permit) = self.reserve() {
                 // Boxed, because connections are opened rarely and used often.
@@ -204,7 +226,7 @@
     fn put_back(&self, mut pooled: PooledConnection) {
         pooled.used_at = Instant::now();
         let mut state = self.state();
-        if state.retired {
+        if state.retired || !state.is_usable(&pooled.connection, pooled.used_at) {
             state.open -= 1;
         } else {
             state.idle.push(pooled);
@@ -217,7 +239,8 @@
     /// answered. A refusal is an answer, unless it comes from another instance.
     pub async fn probe(&self) -> bool {
         let deadline = Instant::now() + PROBE_TIMEOUT;
-        let connecting = DatabaseConnection::connect(self.codec, &self.instance, deadline);
+        let variety = self.variety.clone();
+        let connecting = DatabaseConnection::connect(self.codec, &self.instance, variety, deadline);
         connecting.await.err().is_none_or(|error| error.is_answer())
     }
 
@@ -270,7 +293,9 @@
     async fn open(mut self, deadline: Instant) -> Result<PoolLease, ConnectionError> {
         let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let pool = self.pool.clone();
-        let connection = DatabaseConnection::connect(pool.codec, &pool.instance, deadline).await?;
+        let variety = pool.variety.clone();
+        let connection =
+            DatabaseConnection::connect(pool.codec, &pool.instance, variety, deadline).await?;
         let pooled = PooledConnection {
             connection,
             values: SessionValues::default(),
@@ -298,15 +323,12 @@
 pub struct PoolLease {
     pool: Arc<ConnectionPool>,
     pooled: Option<PooledConnection>,
-    /// Repeated answers on the connection when it was taken.
-    repeated_before: u64,
 }
 
 impl PoolLease {
     fn new(pool: &Arc<ConnectionPool>, pooled: PooledConnection) -> Self {
         Self {
             pool: pool.clone(),
-            repeated_before: pooled.connection.repeated_answers(),
             pooled: Some(pooled),
         }
     }
@@ -322,7 +344,10 @@
 
     fn take_pooled(&mut self) -> Option<PooledConnection> {
         let pooled = self.pooled.take()?;
-        let repeated = pooled.connection.repeated_answers() - self.repeated_before;
+        let repeated = pooled.connection.repeated_answers();
+        if repeated > 0 {
+            self.pool.state().cautious_until = Some(Instant::now() + CAUTION_TIME);
+        }
         self.pool
             .repeated_answers
             .fetch_add(repeated, Ordering::Relaxed);
@@ -330,8 +355,13 @@
     }
 
     /// Returns the connection to the pool. No answer may be outstanding on it and
-    /// no transaction open.
+    /// no transaction open. A connection on which an answer came twice is closed: the
+    /// second copy of another one may still arrive.
     pub fn release(mut self) {
+        let is_repeating = self.get().connection.repeated_answers() > 0;
+        if is_repeating {
+            return;
+        }
         if let Some(pooled) = self.take_pooled() {
             self.pool.put_back(pooled);
         }
