Refuse messages over the size limit instead of dropping the session

What callers saw: a message over 1 MiB ended the session without an answer. One that only became too long with what the proxy adds (a position, the name of a prepared statement) went to the instance, which by its protocol may end the connection; then the pool closed its idle connections as well.

The caller is told MALFORMED before the session ends, as the next message's begin is not known. An owner checks the encoded length before anything is sent: a read with a position goes to the primary without one, anything else is refused.

--- a/crates/proxy/src/codec.rs
+++ b/crates/proxy/src/codec.rs
@@ -251,6 +251,8 @@
 /// Codec of the instances' protocol.
 #[derive(Debug, Clone, Copy)]
 pub struct DatabaseCodec {
+    /// Longest encoded message that an instance takes, in bytes.
+    pub message_bytes_max: usize,
     /// Appends the startup message for an instance of a database.
     pub encode_startup: fn(database: &str, instance: &str, out: &mut Vec<u8>),
     /// Appends one command to the output.
--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use compact_str::CompactString;
+use compact_str::{CompactString, ToCompactString};
 use fulmarrill_position::{DatabaseName, LogPoint, SessionPosition, Term};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use smol::net::TcpStream;
@@ -133,7 +133,19 @@
         }
         self.reply_ready(None);
         self.flush().await?;
-        while let Some(message) = self.read_message().await? {
+        loop {
+            let message = match self.read_message().await {
+                Ok(Some(message)) => message,
+                Ok(None) => return Ok(()),
+                Err(error) => {
+                    if let SessionError::Codec(error) = &error {
+                        // Where the next message begins is not known.
+                        self.refuse(ErrorKind::Malformed, &error.to_compact_string());
+                        self.flush().await?;
+                    }
+                    return Err(error);
+                }
+            };
             match message {
                 CallerMessage::Terminate => return Ok(()),
                 CallerMessage::Statement { id, statement } => {
@@ -150,7 +162,6 @@
             }
             self.flush().await?;
         }
-        Ok(())
     }
 
     async fn read_message(&mut self) -> Result<Option<CallerMessage>, SessionError> {
--- a/crates/proxy/src/owner/connection.rs
+++ b/crates/proxy/src/owner/connection.rs
@@ -44,6 +44,9 @@
     /// The instance sent bytes that are no message of the protocol.
     #[error(transparent)]
     Codec(#[from] CodecError),
+    /// A command is longer than an instance takes; nothing was sent.
+    #[error("the message to the instance is too long")]
+    TooLong,
     /// The messages of an answer are not in an order that the protocol allows.
     #[error("malformed answer: {0}")]
     Malformed(&'static str),
@@ -352,7 +355,12 @@
     ) -> Result<Vec<DatabaseAnswer>, ConnectionError> {
         let is_mid_repeat = self.discard_repeats().await?;
         for command in commands {
+            let start = self.output.len();
             (self.codec.encode)(command, &mut self.output);
+            if self.output.len() - start > self.codec.message_bytes_max {
+                self.output.clear();
+                return Err(ConnectionError::TooLong);
+            }
         }
         self.flush().await?;
         if is_mid_repeat {
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -113,6 +113,22 @@
         }
     }
 
+    /// The report on a statement that is too long for the instance with what the proxy
+    /// adds to it. Nothing was sent.
+    fn too_long(request: &WorkRequest) -> Self {
+        if request.after.is_some() && request.step == WorkStep::Single {
+            // At the primary the statement is sent without a position.
+            return Self::not_run(NotRunReason::Behind);
+        }
+        let kind = ErrorKind::Malformed;
+        let text = "the statement is too long".into();
+        Self {
+            answer: WorkAnswer::Failed { kind, text },
+            covers_until: None,
+            lost_lead: false,
+        }
+    }
+
     fn unknown() -> Self {
         Self {
             answer: WorkAnswer::Unknown,
@@ -674,6 +690,9 @@
 
     fn exchange_failed(&self, error: &ConnectionError, request: &WorkRequest) -> OwnerReport {
         log::debug!("{}: {error}", self.instance.id);
+        if matches!(error, ConnectionError::TooLong) {
+            return OwnerReport::too_long(request);
+        }
         let is_unsent = matches!(error, ConnectionError::Connect(_));
         if matches!(error, ConnectionError::Lost(_)) {
             self.pool.close_idle();
