Database connections: an answer that nobody asked for is not left for the next statement

What callers saw: nothing was reported on this path. Bytes that an instance sends on an idle connection stayed in the socket, and the next statement on that connection, of another session, was given them as its answer. PostgreSQL itself does so when it shuts down (57P01 on every idle connection): the next statement was sent into a connection that had ended and reported as unknown. An answer given twice would have shifted all later ones.

Cause: the check for a connection to be shared looked at the buffer of received bytes when the connection was returned, and nobody looked at the socket before the next request.

Fix: with no response outstanding, `send` first reads what has arrived. Notices, parameters and notifications, which a server may send at any time, are discarded; after anything else, or the end of the stream, nothing is sent and the connection is given up. The pool and the coordinator check before they hand a connection out, so that a statement gets another one.

What is left: an answer that comes twice, the second after the next request was sent.

--- a/crates/host/src/control/coordinator.rs
+++ b/crates/host/src/control/coordinator.rs
@@ -113,7 +113,13 @@
     async fn run(&self, sql: &str, timeout: Duration) -> Result<InstanceStatus, PgError> {
         let deadline = Instant::now() + timeout;
         let mut held = self.connection.lock().await;
-        let mut connection = if let Some(connection) = held.take() {
+        let mut kept = held.take();
+        if let Some(connection) = &mut kept
+            && !connection.is_reusable().await
+        {
+            kept = None;
+        }
+        let mut connection = if let Some(connection) = kept {
             connection
         } else {
             let target = DatabaseAdapter::target(&self.address, &self.database);
--- a/crates/host/src/owner/pool.rs
+++ b/crates/host/src/owner/pool.rs
@@ -108,7 +108,10 @@
     pub async fn acquire(self: &Arc<Self>, deadline: Instant) -> Result<PoolLease, PoolError> {
         loop {
             let listener = self.changed.listen();
-            if let Some(lease) = self.take_idle() {
+            if let Some(mut lease) = self.take_idle() {
+                if !lease.connection().is_reusable().await {
+                    continue;
+                }
                 match self.probe_if_idle(lease).await {
                     Some(lease) => return Ok(lease),
                     None => continue,
--- a/crates/pg/src/client.rs
+++ b/crates/pg/src/client.rs
@@ -23,6 +23,9 @@
 const BACKEND_KEY_DATA: u8 = b'K';
 /// Message type of `DataRow`.
 const DATA_ROW: u8 = b'D';
+/// Types of the messages that a server may send at any time: `NoticeResponse`,
+/// `ParameterStatus` and `NotificationResponse`.
+const ASYNCHRONOUS_TYPES: [u8; 3] = [b'N', b'S', b'A'];
 /// Size of a message header: type and length.
 const HEADER_BYTES: usize = 5;
 
@@ -148,7 +151,7 @@
 ///
 /// Responses arrive in the order of the requests. A connection with an
 /// outstanding response must not be reused for another caller: see
-/// [`DatabaseConnection::is_drained`].
+/// [`DatabaseConnection::is_reusable`].
 #[derive(Debug)]
 pub struct DatabaseConnection {
     stream: MessageStream,
@@ -205,12 +208,37 @@
     ///
     /// # Errors
     ///
-    /// [`PgError::Io`] if the socket fails.
+    /// [`PgError::Io`] if the socket fails. If no response is outstanding and the
+    /// server has ended the connection or sent a response all the same, that is the
+    /// error, and nothing is sent.
     pub async fn send(&mut self, bytes: &[u8], responses: usize) -> Result<(), PgError> {
+        if self.pending_responses == 0 {
+            self.discard_idle_input().await?;
+        }
         self.pending_responses += responses;
         self.stream.write(bytes).await
     }
 
+    /// Discards the asynchronous messages that arrived since the last response.
+    /// Anything else would be taken for the response to the next request.
+    async fn discard_idle_input(&mut self) -> Result<(), PgError> {
+        let filled = self.stream.fill_available().await;
+        while let Some(message) = self.stream.take_message()? {
+            match message[0] {
+                kind if ASYNCHRONOUS_TYPES.contains(&kind) => {}
+                ERROR_RESPONSE => {
+                    let report = ErrorReport::from_message(&message);
+                    return Err(Self::closed_with(Some(report)));
+                }
+                _ => return Err(PgError::Unsolicited),
+            }
+        }
+        match self.stream.unread_input().first() {
+            Some(kind) if !ASYNCHRONOUS_TYPES.contains(kind) => Err(PgError::Unsolicited),
+            _ => filled,
+        }
+    }
+
     /// Reads the response to the oldest outstanding request.
     ///
     /// # Errors
@@ -309,9 +337,15 @@
     }
 
     /// Whether every response was read and no received bytes are left over, so that
-    /// the connection can be reused for another caller.
+    /// the connection can be kept for another caller.
     #[must_use]
     pub fn is_drained(&self) -> bool {
-        self.pending_responses == 0 && !self.stream.has_unread_input()
+        self.pending_responses == 0 && self.stream.unread_input().is_empty()
+    }
+
+    /// Whether the connection can be handed to another caller: it is still open, and
+    /// the server has sent no response that nobody asked for.
+    pub async fn is_reusable(&mut self) -> bool {
+        self.pending_responses == 0 && self.discard_idle_input().await.is_ok()
     }
 }
--- a/crates/pg/src/error.rs
+++ b/crates/pg/src/error.rs
@@ -23,6 +23,10 @@
     /// The length field of a message is too large or too small.
     #[error("message of {0} bytes is out of bounds")]
     InvalidLength(usize),
+    /// The server sent data that no request asked for. The connection must not be
+    /// used, since later answers could be taken for those of other requests.
+    #[error("server sent data that belongs to no request")]
+    Unsolicited,
     /// The operation did not complete before the deadline.
     #[error("no answer before the deadline")]
     TimedOut,
--- a/crates/pg/src/stream.rs
+++ b/crates/pg/src/stream.rs
@@ -5,6 +5,7 @@
 use std::task::{Context, Poll};
 
 use bytes::{Buf, BytesMut};
+use futures_lite::future::poll_once;
 use futures_lite::{AsyncRead, AsyncWriteExt};
 use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
 use smol::net::TcpStream;
@@ -43,10 +44,10 @@
         &mut self.input
     }
 
-    /// Whether the buffer holds received bytes that were not consumed yet.
+    /// Returns the received bytes that were not consumed yet.
     #[must_use]
-    pub fn has_unread_input(&self) -> bool {
-        !self.input.is_empty()
+    pub fn unread_input(&self) -> &[u8] {
+        &self.input
     }
 
     /// Waits for more bytes. Cancel-safe: no received byte is lost.
@@ -63,6 +64,18 @@
         Ok(())
     }
 
+    /// Reads the bytes that have already arrived, without waiting for more.
+    ///
+    /// # Errors
+    ///
+    /// As for [`MessageStream::fill`]; the bytes read before are kept.
+    pub async fn fill_available(&mut self) -> Result<(), PgError> {
+        while let Some(result) = poll_once(self.fill()).await {
+            result?;
+        }
+        Ok(())
+    }
+
     /// Reads directly into `input`, so that an idle connection needs no second
     /// buffer. Space added for the read is truncated before the call returns.
     fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<std::io::Result<usize>> {
