Database connections: one with an open transaction is not shared

What callers saw: nothing was reported. A connection that was returned to the pool with a transaction open, or failed, would have run the statements of the next session in it; a read at a replica that left one open was refused, but its connection went back.

Cause: only the number of outstanding answers was checked, not the transaction status after the last one.

Fix: the connection keeps the status of its last answer, and is neither kept nor handed out while it is not idle. Pinned transactions don't pass through the pool between their steps and are not affected.

Ruled out: the entry sends no statement that opens a transaction to a replica (class `Transaction` goes to the primary), so no text was found that brings this about in a fleet today.

--- a/crates/host/src/owner/pool.rs
+++ b/crates/host/src/owner/pool.rs
@@ -299,7 +299,7 @@
     }
 
     /// Returns the connection to the pool. It is closed instead if an answer is
-    /// outstanding or it has too many prepared statements.
+    /// outstanding, a transaction is open, or it has too many prepared statements.
     pub fn give_back(mut self) {
         let Some(mut pooled) = self.pooled.take() else {
             return;
--- a/crates/pg/src/client.rs
+++ b/crates/pg/src/client.rs
@@ -11,6 +11,7 @@
 use pgwire::messages::startup::Startup;
 use smol::net::TcpStream;
 
+use crate::STATUS_IDLE;
 use crate::error::PgError;
 use crate::report::ErrorReport;
 use crate::stream::{MessageStream, encode_frontend};
@@ -156,6 +157,8 @@
 pub struct DatabaseConnection {
     stream: MessageStream,
     pending_responses: usize,
+    /// Transaction status byte of the last response.
+    status: u8,
     process_id: i32,
 }
 
@@ -176,6 +179,7 @@
         let mut connection = Self {
             stream,
             pending_responses: 0,
+            status: STATUS_IDLE,
             process_id: 0,
         };
         let mut startup = Startup::new();
@@ -258,7 +262,8 @@
             match message[0] {
                 READY_FOR_QUERY => {
                     self.pending_responses = self.pending_responses.saturating_sub(1);
-                    let status = message.get(HEADER_BYTES).copied().unwrap_or(b'I');
+                    let status = message.get(HEADER_BYTES).copied().unwrap_or(STATUS_IDLE);
+                    self.status = status;
                     return Ok(BackendResponse {
                         messages,
                         status,
@@ -336,16 +341,19 @@
         self.process_id
     }
 
-    /// Whether every response was read and no received bytes are left over, so that
-    /// the connection can be kept for another caller.
+    /// Whether every response was read, no received bytes are left over and no
+    /// transaction is open, so that the connection can be kept for another caller.
     #[must_use]
     pub fn is_drained(&self) -> bool {
-        self.pending_responses == 0 && self.stream.unread_input().is_empty()
+        let is_answered = self.pending_responses == 0 && self.stream.unread_input().is_empty();
+        is_answered && self.status == STATUS_IDLE
     }
 
-    /// Whether the connection can be handed to another caller: it is still open, and
-    /// the server has sent no response that nobody asked for.
+    /// Whether the connection can be handed to another caller: it is still open
+    /// without a transaction, and the server has sent no response that nobody asked
+    /// for.
     pub async fn is_reusable(&mut self) -> bool {
-        self.pending_responses == 0 && self.discard_idle_input().await.is_ok()
+        let is_free = self.pending_responses == 0 && self.status == STATUS_IDLE;
+        is_free && self.discard_idle_input().await.is_ok()
     }
 }
--- a/crates/pg/tests/pairing.rs
+++ b/crates/pg/tests/pairing.rs
@@ -136,6 +136,19 @@
     });
 }
 
+#[test]
+fn connection_with_an_open_or_failed_transaction_is_not_reused() {
+    smol::block_on(async {
+        for status in [b'T', b'E'] {
+            let (mut connection, mut server) = connect().await;
+            query(&mut connection, &mut server, &answer_with("1", status)).await;
+            assert!(!connection.is_reusable().await);
+            query(&mut connection, &mut server, &answer_with("1", b'I')).await;
+            assert!(connection.is_reusable().await);
+        }
+    });
+}
+
 /// The answer arrives after the connection was handed out.
 #[test]
 fn statement_is_not_sent_after_an_answer_that_nobody_asked_for() {
