Database connections: a notification is not part of an answer

What callers saw: nothing was reported. `NotificationResponse` is sent for a session that listens, not for a statement; on a shared connection, it was forwarded to the caller whose statement happened to run.

Cause: everything up to `ReadyForQuery` was taken for the answer.

Fix: it is left out while an answer is read, as it is on an idle connection.

Evidence: the test failed before:

panicked at crates/pg/tests/pairing.rs:152:9: assertion `left == right` failed left: [65, 0, 0, 0, 14, 0, 0, 0, 1, 106, 111, 98, 115, 0, 0, 68, ... right: [68, 0, 0, 0, 11, 0, 1, 0, 0, 0, 1, 49, 67, ...

--- a/crates/pg/src/client.rs
+++ b/crates/pg/src/client.rs
@@ -24,9 +24,11 @@
 const BACKEND_KEY_DATA: u8 = b'K';
 /// Message type of `DataRow`.
 const DATA_ROW: u8 = b'D';
+/// Message type of `NotificationResponse`.
+const NOTIFICATION_RESPONSE: u8 = b'A';
 /// Types of the messages that a server may send at any time: `NoticeResponse`,
 /// `ParameterStatus` and `NotificationResponse`.
-const ASYNCHRONOUS_TYPES: [u8; 3] = [b'N', b'S', b'A'];
+const ASYNCHRONOUS_TYPES: [u8; 3] = [b'N', b'S', NOTIFICATION_RESPONSE];
 /// Size of a message header: type and length.
 const HEADER_BYTES: usize = 5;
 
@@ -258,6 +260,10 @@
                 Err(PgError::Closed) => return Err(Self::closed_with(error)),
                 Err(other) => return Err(other),
             };
+            if message[0] == NOTIFICATION_RESPONSE {
+                // Sent for a session that listens, not for the request.
+                continue;
+            }
             messages.extend_from_slice(&message);
             match message[0] {
                 READY_FOR_QUERY => {
--- a/crates/pg/tests/pairing.rs
+++ b/crates/pg/tests/pairing.rs
@@ -136,6 +136,23 @@
     });
 }
 
+#[test]
+fn notification_inside_an_answer_is_not_part_of_it() {
+    smol::block_on(async {
+        let (mut connection, mut server) = connect().await;
+        let answer = answer_with("1", b'I');
+        let serve = async {
+            read_request(&mut server).await;
+            server.write_all(NOTIFICATION).await.unwrap();
+            server.write_all(&answer).await.unwrap();
+        };
+        let request = DatabaseConnection::encode_query("SELECT 1").unwrap();
+        let run = connection.exchange(&request, deadline());
+        let (response, ()) = futures_lite::future::zip(run, serve).await;
+        assert_eq!(&response.unwrap().messages[..], &answer[..]);
+    });
+}
+
 #[test]
 fn connection_with_an_open_or_failed_transaction_is_not_reused() {
     smol::block_on(async {
