PostgreSQL entry: a text with a zero byte is refused instead of cut

What callers saw: nothing was reported on this path. A text that is not UTF-8 was run with replacement characters. A message that ended too early made its session panic.

Cause: the decoder of `pgwire` reads a text up to its first zero byte and ignores the rest of the message, decodes with replacement, and panics when a field is missing.

Fix: the fields of a message are checked before it is decoded; a message with anything else than the fields of its type is refused with 08P01. The session goes on after it, as a server's does.

Ruled out, passed before and after: texts with CR, LF, other control characters, U+2028, a byte order mark.

--- a/crates/host/src/entry/session.rs
+++ b/crates/host/src/entry/session.rs
@@ -138,8 +138,14 @@
         accept_session(&mut self.stream, process_id).await?;
         loop {
             let mut message = self.stream.read_message().await?;
-            let Some(message) = decode_frontend(&mut message)? else {
-                continue;
+            let kind = message[0];
+            let message = match decode_frontend(&mut message) {
+                Ok(Some(message)) => message,
+                Ok(None) => continue,
+                Err(error) => {
+                    self.refuse_message(kind, error).await?;
+                    continue;
+                }
             };
             if matches!(message, PgWireFrontendMessage::Terminate(_)) {
                 return Ok(());
@@ -151,6 +157,30 @@
         }
     }
 
+    /// Answers a message that cannot be decoded. The session goes on if the caller
+    /// can tell what the answer belongs to.
+    async fn refuse_message(&mut self, kind: u8, error: PgError) -> Result<(), PgError> {
+        let report = ErrorReport::new(sqlstate::PROTOCOL_VIOLATION, error.to_string());
+        match kind {
+            b'Q' => self.answer_error(&report).await,
+            b'P' | b'B' | b'C' | b'D' | b'E' => self.refuse_batch(&report).await,
+            _ => {
+                self.send(&[report.with_fatal().to_message()]).await?;
+                Err(error)
+            }
+        }
+    }
+
+    /// Refuses the batch, and with it all messages up to the next `Sync`.
+    async fn refuse_batch(&mut self, report: &ErrorReport) -> Result<(), PgError> {
+        if self.skip_to_sync {
+            return Ok(());
+        }
+        self.skip_to_sync = true;
+        self.batch.clear();
+        self.send(&[report.to_message()]).await
+    }
+
     /// Rolls back the open transaction, if there is one.
     fn end(&mut self) {
         let transaction = std::mem::replace(&mut self.transaction, SessionTransaction::Idle);
@@ -168,12 +198,10 @@
                 if self.skip_to_sync {
                     return Ok(());
                 }
-                if let Err(report) = self.batch.push(message) {
-                    self.skip_to_sync = true;
-                    self.batch.clear();
-                    return self.send(&[report.to_message()]).await;
+                match self.batch.push(message) {
+                    Ok(()) => Ok(()),
+                    Err(report) => self.refuse_batch(&report).await,
                 }
-                Ok(())
             }
             _ => {
                 let report = ErrorReport::new(sqlstate::NOT_SUPPORTED, "message is not supported");
--- a/crates/pg/src/error.rs
+++ b/crates/pg/src/error.rs
@@ -20,6 +20,12 @@
     /// A message cannot be encoded or decoded.
     #[error("protocol error: {0}")]
     Protocol(#[from] PgWireError),
+    /// A message does not have the fields of its type: a text is not UTF-8 or has a
+    /// zero byte inside, or the message ends too early or too late.
+    #[error(
+        "invalid message format: a text is not UTF-8 or has a zero byte, or the length is wrong"
+    )]
+    InvalidFormat,
     /// The length field of a message is too large or too small.
     #[error("message of {0} bytes is out of bounds")]
     InvalidLength(usize),
--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod client;
 mod error;
+mod format;
 mod report;
 mod server;
 mod stream;
--- a/crates/pg/src/report.rs
+++ b/crates/pg/src/report.rs
@@ -5,6 +5,9 @@
 use pgwire::messages::response::{ErrorResponse, NoticeResponse};
 use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
 
+use crate::error::PgError;
+use crate::format::is_well_formed;
+
 /// The SQLSTATE codes that this project uses, each with its condition name from
 /// appendix A of the PostgreSQL manual.
 pub mod sqlstate {
@@ -132,14 +135,15 @@
     }
 }
 
-/// Decodes one message of a client; `None` if the message is incomplete.
+/// Decodes one whole message of a client.
 ///
 /// # Errors
 ///
-/// If the message cannot be decoded.
-pub fn decode_frontend(
-    message: &mut BytesMut,
-) -> Result<Option<PgWireFrontendMessage>, crate::PgError> {
+/// If the message cannot be decoded, or only with other texts than it has.
+pub fn decode_frontend(message: &mut BytesMut) -> Result<Option<PgWireFrontendMessage>, PgError> {
+    if !is_well_formed(message) {
+        return Err(PgError::InvalidFormat);
+    }
     let context = crate::server::decode_context();
     Ok(PgWireFrontendMessage::decode(message, &context)?)
 }
--- /dev/null
+++ b/tests/messages.rs
@@ -0,0 +1,134 @@
+//! Messages of callers that unmodified drivers do not send, and their answers.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use fulmarrill_fleet::LocalFleet;
+
+use crate::util::{DATABASE, caller_addresses, lock_fleet, small_layout};
+
+/// Timeout for the next byte of an answer.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A caller that sends and receives single messages.
+struct RawCaller {
+    stream: TcpStream,
+}
+
+fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(body.len() + 4).expect("a short body");
+    [&[kind], &length.to_be_bytes()[..], body].concat()
+}
+
+fn query(text: &str) -> Vec<u8> {
+    message(b'Q', &[text.as_bytes(), b"\0"].concat())
+}
+
+fn parse(name: &str, text: &str) -> Vec<u8> {
+    let body = [name.as_bytes(), b"\0", text.as_bytes(), b"\0\0\0"].concat();
+    message(b'P', &body)
+}
+
+fn bind(name: &str) -> Vec<u8> {
+    message(b'B', &[b"\0", name.as_bytes(), b"\0\0\0\0\0\0\0"].concat())
+}
+
+fn execute() -> Vec<u8> {
+    message(b'E', b"\0\0\0\0\0")
+}
+
+fn sync() -> Vec<u8> {
+    message(b'S', b"")
+}
+
+impl RawCaller {
+    fn connect(address: &str) -> Self {
+        let stream = TcpStream::connect(address).expect("the host accepts");
+        stream
+            .set_read_timeout(Some(READ_TIMEOUT))
+            .expect("a timeout");
+        let mut caller = Self { stream };
+        let parameters = format!("\0\x03\0\0user\0city\0database\0{DATABASE}\0\0");
+        let length = u32::try_from(parameters.len() + 4).expect("a short body");
+        caller.send(&[&length.to_be_bytes()[..], parameters.as_bytes()].concat());
+        caller.read_until_ready();
+        caller
+    }
+
+    fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("sent");
+    }
+
+    /// Reads one message: its type and the text of its body.
+    fn read_message(&mut self) -> (char, String) {
+        let mut header = [0; 5];
+        self.stream.read_exact(&mut header).expect("a message");
+        let length = u32::from_be_bytes(header[1..].try_into().expect("four bytes"));
+        let mut body = vec![0; length as usize - 4];
+        self.stream.read_exact(&mut body).expect("its body");
+        (
+            header[0].into(),
+            String::from_utf8_lossy(&body).into_owned(),
+        )
+    }
+
+    /// Reads one message after another, and returns the types of the first `count`
+    /// that are not `ParameterStatus`.
+    fn read_types(&mut self, count: usize) -> String {
+        let mut types = String::new();
+        while types.len() < count {
+            let (kind, _) = self.read_message();
+            if kind != 'S' {
+                types.push(kind);
+            }
+        }
+        types
+    }
+
+    /// Reads messages up to `ReadyForQuery` and returns their types, without
+    /// `ParameterStatus`.
+    fn read_until_ready(&mut self) -> String {
+        let mut types = String::new();
+        while !types.ends_with('Z') {
+            types.push_str(&self.read_types(1));
+        }
+        types
+    }
+
+    /// Runs a query and returns the text of its first row.
+    fn first_row(&mut self, text: &str) -> String {
+        self.send(&query(text));
+        let mut row = String::new();
+        loop {
+            match self.read_message() {
+                ('D', body) if row.is_empty() => body[6..].clone_into(&mut row),
+                ('Z', _) => return row,
+                _ => {}
+            }
+        }
+    }
+}
+
+fn with_caller(work: impl FnOnce(&mut RawCaller)) {
+    let _fleet_lock = lock_fleet();
+    let fleet = smol::block_on(LocalFleet::start(small_layout())).expect("the fleet starts");
+    work(&mut RawCaller::connect(&caller_addresses(&fleet)[0]));
+}
+
+/// A statement cut at a zero byte would have deleted every row.
+#[test]
+fn statement_with_a_zero_byte_is_refused_and_not_cut() {
+    with_caller(|caller| {
+        caller.send(&query(
+            "INSERT INTO badges (id, holder) VALUES (1, 'a'), (2, 'b')",
+        ));
+        assert_eq!(caller.read_until_ready(), "CZ");
+        caller.send(&query("DELETE FROM badges\0 WHERE id = 1"));
+        assert_eq!(caller.read_until_ready(), "EZ");
+        caller.send(&parse("", "DELETE FROM badges\0 WHERE id = 1"));
+        caller.send(&[bind(""), execute(), sync()].concat());
+        assert_eq!(caller.read_until_ready(), "EZ");
+        assert_eq!(caller.first_row("SELECT count(*) FROM badges"), "2");
+    });
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -6,6 +6,7 @@
 mod failures;
 #[path = "../platform/tests/processes/leaving.rs"]
 mod leaving;
+mod messages;
 mod processes;
 mod records;
 mod settings_file;
