Links: a frame that is too large fails its own call only

What callers saw: nothing was reported. An answer of more than 16 MiB through another host closed the link, since the reader refuses such a message, and every other call on that link was lost: reads were repeated, and writes that ran were reported as unknown.

Cause: the size was checked by the reader only, who can't tell which call the message belongs to.

Fix: the sender checks it. A call that is too large is not sent; in place of a reply that is too large, or that can't be encoded, a frame is sent that says so, and the call fails with `NoReply` instead of waiting until its deadline. The wire version stays: an older host closes the link on the new frame, as it did on the reply.

Ruled out, by tests against scripted peers that pass before and after: a second reply to a call, a reply before its call or to one that was given up, replies in another order, calls and hellos from the wrong side, a second hello with another name, a call before the hello, a reply to a call of an earlier link.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -47,7 +47,10 @@
     /// The link was closed, or the deadline passed, after the call was queued.
     #[error("link was lost before the reply came")]
     Lost,
-    /// The frame cannot be encoded; nothing was sent.
+    /// The other host received the call, but cannot send its reply.
+    #[error("no reply could be sent: {0}")]
+    NoReply(CompactString),
+    /// The frame cannot be encoded or is too large; nothing was sent.
     #[error(transparent)]
     Wire(#[from] WireError),
 }
@@ -56,7 +59,7 @@
     /// Whether the other host may have received the call.
     #[must_use]
     pub fn may_have_arrived(&self) -> bool {
-        matches!(self, Self::Lost)
+        matches!(self, Self::Lost | Self::NoReply(_))
     }
 }
 
@@ -93,15 +96,18 @@
     }
 }
 
+/// The reply to a call, or why it could not be sent.
+type CallResult<R> = Result<R, CompactString>;
+
 #[derive(Debug)]
 struct LinkShared<R> {
     closed: AtomicBool,
     received_at: Mutex<Instant>,
-    pending: Mutex<HashMap<u64, Sender<R>>>,
+    pending: Mutex<HashMap<u64, Sender<CallResult<R>>>>,
 }
 
 impl<R> LinkShared<R> {
-    fn pending(&self) -> MutexGuard<'_, HashMap<u64, Sender<R>>> {
+    fn pending(&self) -> MutexGuard<'_, HashMap<u64, Sender<CallResult<R>>>> {
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -250,7 +256,7 @@
         let reply = async { reply.recv().await.ok() };
         let reply = reply.or(timeout).or(receive_timeout).await;
         self.shared.pending().remove(&id);
-        reply.ok_or(LinkError::Lost)
+        reply.ok_or(LinkError::Lost)?.map_err(LinkError::NoReply)
     }
 
     /// Closes the link and returns once nothing was received for the receive
@@ -294,18 +300,18 @@
         let Message::Binary(bytes) = message else {
             continue;
         };
-        match decode_frame::<P>(&bytes) {
-            Ok(LinkFrame::Reply { id, reply }) => {
-                let sender = shared.pending().remove(&id);
-                if let Some(sender) = sender {
-                    sender.try_send(reply.into()).ok();
-                }
-            }
-            Ok(_) => {}
+        let (id, result) = match decode_frame::<P>(&bytes) {
+            Ok(LinkFrame::Reply { id, reply }) => (id, Ok(reply.into())),
+            Ok(LinkFrame::NoReply { id, why }) => (id, Err(why)),
+            Ok(_) => continue,
             Err(error) => {
                 log::warn!("peer link closed: {error}");
                 return;
             }
+        };
+        let sender = shared.pending().remove(&id);
+        if let Some(sender) = sender {
+            sender.try_send(result).ok();
         }
     }
 }
--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::stream::MESSAGE_SIZE_MAX;
+
 /// Why a frame cannot be decoded or encoded.
 #[derive(Debug, Error)]
 pub enum WireError {
@@ -14,6 +16,9 @@
     /// The frame cannot be serialized.
     #[error("frame cannot be written: {0}")]
     Write(#[from] ciborium::ser::Error<std::io::Error>),
+    /// The frame has more bytes than a message of a link may have.
+    #[error("frame of {0} bytes is too large for a link")]
+    TooLarge(usize),
     /// The version in a hello (first field) differs from this host's (second field).
     #[error("frame has version {0}, this host speaks {1}")]
     Version(u16, u16),
@@ -57,6 +62,13 @@
         /// The reply.
         reply: R,
     },
+    /// Sent in place of a reply that cannot be sent.
+    NoReply {
+        /// Number of the call.
+        id: u64,
+        /// Why there is no reply.
+        why: CompactString,
+    },
 }
 
 /// Frame type of a protocol.
@@ -67,10 +79,14 @@
 ///
 /// # Errors
 ///
-/// When it cannot be serialized.
+/// When it cannot be serialized or is too large. The other side would close the
+/// link on such a frame, and lose all other calls on it.
 pub(crate) fn encode_frame<P: LinkProtocol>(frame: &FrameOf<P>) -> Result<Vec<u8>, WireError> {
     let mut bytes = Vec::new();
     ciborium::into_writer(frame, &mut bytes)?;
+    if bytes.len() > MESSAGE_SIZE_MAX {
+        return Err(WireError::TooLarge(bytes.len()));
+    }
     Ok(bytes)
 }
 
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -133,14 +133,13 @@
     work: impl Future<Output = P::Reply>,
     outgoing: Sender<Vec<u8>>,
 ) {
-    let reply = work.await;
-    match encode_frame::<P>(&LinkFrame::Reply {
-        id,
-        reply: reply.into(),
-    }) {
-        Ok(frame) => {
-            outgoing.send(frame).await.ok();
-        }
-        Err(error) => log::error!("reply to call {id} cannot be sent: {error}"),
+    let reply = work.await.into();
+    let frame = encode_frame::<P>(&LinkFrame::Reply { id, reply }).or_else(|error| {
+        log::error!("reply to call {id} cannot be sent: {error}");
+        let why = error.to_string().into();
+        encode_frame::<P>(&LinkFrame::NoReply { id, why })
+    });
+    if let Ok(frame) = frame {
+        outgoing.send(frame).await.ok();
     }
 }
--- a/crates/link/src/stream.rs
+++ b/crates/link/src/stream.rs
@@ -15,7 +15,7 @@
 /// none is queued.
 const WRITE_BUFFER_SIZE: usize = 8 << 10;
 /// Largest message, in bytes: several times the list of instances of a large fleet.
-const MESSAGE_SIZE_MAX: usize = 16 << 20;
+pub(crate) const MESSAGE_SIZE_MAX: usize = 16 << 20;
 
 /// Limits and buffers of a link.
 pub(crate) fn link_config() -> WebSocketConfig {
