PostgreSQL entry: a query after a failed batch is ignored until the sync

What callers saw: nothing was reported. After an error in a batch a server ignores all messages up to the next `Sync`. The entry ignored those of the extended protocol only: a `Query` in between was run although its caller knows that it is not, and its answer, with a `ReadyForQuery` of its own, was taken for that of the batch, so that every later answer of the session was shifted by one.

Fix: everything but `Sync` and `Terminate` is ignored.

Evidence: the test failed before:

panicked at tests/messages.rs:153:9: assertion `left == right` failed left: "ECZ" right: "EZ"

--- a/crates/host/src/entry/session.rs
+++ b/crates/host/src/entry/session.rs
@@ -162,8 +162,8 @@
     async fn refuse_message(&mut self, kind: u8, error: PgError) -> Result<(), PgError> {
         let report = ErrorReport::new(sqlstate::PROTOCOL_VIOLATION, error.to_string());
         match kind {
-            b'Q' => self.answer_error(&report).await,
-            b'P' | b'B' | b'C' | b'D' | b'E' => self.refuse_batch(&report).await,
+            b'Q' if !self.skip_to_sync => self.answer_error(&report).await,
+            b'Q' | b'P' | b'B' | b'C' | b'D' | b'E' => self.refuse_batch(&report).await,
             _ => {
                 self.send(&[report.with_fatal().to_message()]).await?;
                 Err(error)
@@ -191,18 +191,14 @@
 
     async fn handle(&mut self, message: PgWireFrontendMessage) -> Result<(), PgError> {
         match message {
-            PgWireFrontendMessage::Query(query) => self.handle_query(&query.query).await,
             PgWireFrontendMessage::Sync(_) => self.handle_sync(true).await,
+            _ if self.skip_to_sync => Ok(()),
+            PgWireFrontendMessage::Query(query) => self.handle_query(&query.query).await,
             PgWireFrontendMessage::Flush(_) => self.handle_sync(false).await,
-            message if message.is_extended_query() => {
-                if self.skip_to_sync {
-                    return Ok(());
-                }
-                match self.batch.push(message) {
-                    Ok(()) => Ok(()),
-                    Err(report) => self.refuse_batch(&report).await,
-                }
-            }
+            message if message.is_extended_query() => match self.batch.push(message) {
+                Ok(()) => Ok(()),
+                Err(report) => self.refuse_batch(&report).await,
+            },
             _ => {
                 let report = ErrorReport::new(sqlstate::NOT_SUPPORTED, "message is not supported");
                 self.answer_error(&report).await
@@ -257,13 +253,9 @@
     /// Runs the batch. `ready` is set if the caller expects `ReadyForQuery`,
     /// which a `Flush` does not bring.
     async fn handle_sync(&mut self, ready: bool) -> Result<(), PgError> {
-        if self.skip_to_sync {
-            if ready {
-                self.skip_to_sync = false;
-                let message = self.ready();
-                return self.send(&[message]).await;
-            }
-            return Ok(());
+        if std::mem::take(&mut self.skip_to_sync) {
+            let message = self.ready();
+            return self.send(&[message]).await;
         }
         let result = self.run_batch(ready).await;
         self.batch.clear();
--- a/tests/messages.rs
+++ b/tests/messages.rs
@@ -132,3 +132,17 @@
         assert_eq!(caller.first_row("SELECT count(*) FROM badges"), "2");
     });
 }
+
+/// A server ignores everything between an error in a batch and the `Sync`.
+#[test]
+fn messages_after_a_failed_one_are_ignored_until_the_sync() {
+    with_caller(|caller| {
+        caller.send(&query("INSERT INTO badges (id, holder) VALUES (1, 'a')"));
+        assert_eq!(caller.read_until_ready(), "CZ");
+        caller.send(&message(b'P', b"cut"));
+        caller.send(&query("DELETE FROM badges"));
+        caller.send(&sync());
+        assert_eq!(caller.read_until_ready(), "EZ");
+        assert_eq!(caller.first_row("SELECT count(*) FROM badges"), "1");
+    });
+}
