PostgreSQL entry: an error after a flush brings no ready-for-query

A batch that ends with a `Flush` gets no `ReadyForQuery`, and after an error in it the messages up to the `Sync` are ignored. The entry sent one with each error that it made itself (refusals, unknown outcomes), and ran the messages that followed. A caller that counts them, as drivers do, took the answer of the ignored statement for that of the next.

Fix: errors are sent with or without `ReadyForQuery`, as the caller expects; one without it, from the entry or the database, skips the messages up to the `Sync`.

Evidence: the test failed before:

panicked at tests/messages.rs:186:13: assertion `left == right` failed left: "ignored" right: "next"

--- a/crates/host/src/entry/session.rs
+++ b/crates/host/src/entry/session.rs
@@ -162,7 +162,7 @@
     async fn refuse_message(&mut self, kind: u8, error: PgError) -> Result<(), PgError> {
         let report = ErrorReport::new(sqlstate::PROTOCOL_VIOLATION, error.to_string());
         match kind {
-            b'Q' if !self.skip_to_sync => self.answer_error(&report).await,
+            b'Q' if !self.skip_to_sync => self.answer_error(&report, true).await,
             b'Q' | b'P' | b'B' | b'C' | b'D' | b'E' => self.refuse_batch(&report).await,
             _ => {
                 self.send(&[report.with_fatal().to_message()]).await?;
@@ -176,9 +176,8 @@
         if self.skip_to_sync {
             return Ok(());
         }
-        self.skip_to_sync = true;
         self.batch.clear();
-        self.send(&[report.to_message()]).await
+        self.answer_error(report, false).await
     }
 
     /// Rolls back the open transaction, if there is one.
@@ -201,7 +200,7 @@
             },
             _ => {
                 let report = ErrorReport::new(sqlstate::NOT_SUPPORTED, "message is not supported");
-                self.answer_error(&report).await
+                self.answer_error(&report, true).await
             }
         }
     }
@@ -220,9 +219,15 @@
         PgWireBackendMessage::ReadyForQuery(ReadyForQuery::new(status))
     }
 
-    async fn answer_error(&mut self, report: &ErrorReport) -> Result<(), PgError> {
-        let ready = self.ready();
-        self.send(&[report.to_message(), ready]).await
+    /// Answers with an error. If the caller expects no `ReadyForQuery`, as after a
+    /// `Flush`, the messages up to the next `Sync` are ignored.
+    async fn answer_error(&mut self, report: &ErrorReport, ready: bool) -> Result<(), PgError> {
+        let mut messages = vec![report.to_message()];
+        if ready {
+            messages.push(self.ready());
+        }
+        self.skip_to_sync = !ready;
+        self.send(&messages).await
     }
 
     async fn handle_query(&mut self, text: &str) -> Result<(), PgError> {
@@ -266,7 +271,7 @@
         if self.batch.is_mixed() {
             let text = "settings of fulmarrill and other statements cannot share a batch";
             return self
-                .answer_error(&ErrorReport::new(sqlstate::NOT_SUPPORTED, text))
+                .answer_error(&ErrorReport::new(sqlstate::NOT_SUPPORTED, text), ready)
                 .await;
         }
         match self.batch.target() {
@@ -288,7 +293,7 @@
                     };
                     self.run(work, ready).await
                 }
-                Err(report) => self.answer_error(&report).await,
+                Err(report) => self.answer_error(&report, ready).await,
             },
         }
     }
@@ -409,11 +414,11 @@
     /// Runs a request at an instance, records it and answers the caller.
     async fn run(&mut self, work: SessionWork, ready: bool) -> Result<(), PgError> {
         if matches!(self.transaction, SessionTransaction::Failed) {
-            return self.answer_in_failed_transaction(&work).await;
+            return self.answer_in_failed_transaction(&work, ready).await;
         }
         let in_transaction = matches!(self.transaction, SessionTransaction::Open(_));
         if let Some(report) = self.check_supported(&work, in_transaction) {
-            return self.answer_error(&report).await;
+            return self.answer_error(&report, ready).await;
         }
         let view = self.context.view.load();
         let policy = view
@@ -509,8 +514,11 @@
                 payload,
                 status,
                 point,
+                sqlstate,
                 ..
             } => {
+                // The error of a batch that ends with a `Flush`.
+                self.skip_to_sync = sqlstate.is_some() && !ready;
                 if !routed.by_replica || self.position.contains(&self.identity.database) {
                     self.position.advance(&self.identity.database, point);
                 }
@@ -523,11 +531,13 @@
             }
             WorkAnswer::NotRun { reason, message } => {
                 self.fail_transaction();
-                self.answer_error(&not_run_report(reason, &message)).await
+                let report = not_run_report(reason, &message);
+                self.answer_error(&report, ready).await
             }
             WorkAnswer::Unknown { message } => {
                 self.fail_transaction();
-                self.answer_error(&unknown_report(&message)).await
+                let report = unknown_report(&message);
+                self.answer_error(&report, ready).await
             }
         }
     }
@@ -562,7 +572,11 @@
 
     /// Answers a request in a failed transaction: only the end of the
     /// transaction is accepted.
-    async fn answer_in_failed_transaction(&mut self, work: &SessionWork) -> Result<(), PgError> {
+    async fn answer_in_failed_transaction(
+        &mut self,
+        work: &SessionWork,
+        ready: bool,
+    ) -> Result<(), PgError> {
         if work.ends_transaction {
             self.transaction = SessionTransaction::Idle;
             let tag = CommandComplete::new("ROLLBACK".to_owned());
@@ -572,12 +586,14 @@
                 messages.push(PgWireBackendMessage::BindComplete(BindComplete::new()));
             }
             messages.push(PgWireBackendMessage::CommandComplete(tag));
-            messages.push(self.ready());
+            if ready {
+                messages.push(self.ready());
+            }
             return self.send(&messages).await;
         }
         let text = "current transaction is aborted, commands ignored until end of block";
-        self.answer_error(&ErrorReport::new(sqlstate::FAILED_TRANSACTION, text))
-            .await
+        let report = ErrorReport::new(sqlstate::FAILED_TRANSACTION, text);
+        self.answer_error(&report, ready).await
     }
 }
 
--- a/tests/messages.rs
+++ b/tests/messages.rs
@@ -42,6 +42,10 @@
     message(b'S', b"")
 }
 
+fn flush() -> Vec<u8> {
+    message(b'H', b"")
+}
+
 impl RawCaller {
     fn connect(address: &str) -> Self {
         let stream = TcpStream::connect(address).expect("the host accepts");
@@ -146,3 +150,19 @@
         assert_eq!(caller.first_row("SELECT count(*) FROM badges"), "1");
     });
 }
+
+/// A second `ReadyForQuery` for one `Sync` shifts all later answers by one.
+#[test]
+fn flush_after_an_error_brings_no_ready_for_query() {
+    with_caller(|caller| {
+        let refused = parse("", "LISTEN jobs");
+        let failed = parse("", "SELECT nothing FROM nowhere");
+        for statement in [refused, failed] {
+            caller.send(&[statement, bind(""), execute(), flush()].concat());
+            caller.send(&parse("", "SELECT 'ignored'"));
+            caller.send(&[bind(""), execute(), sync()].concat());
+            assert_eq!(caller.read_until_ready(), "EZ");
+            assert_eq!(caller.first_row("SELECT 'next'"), "next");
+        }
+    });
+}
