PostgreSQL entry: a batch before a query is answered before it

What callers saw: nothing was reported. A `Query` ends a batch that has no `Sync`. The entry ran it at once and kept the batch for the next `Sync`, so that the answers came in another order than the requests, and the batch ran after a statement that was sent behind it.

Fix: the batch is run first, as for a `Flush`; if it fails, the query is ignored.

--- a/crates/host/src/entry/session.rs
+++ b/crates/host/src/entry/session.rs
@@ -162,7 +162,13 @@
     async fn refuse_message(&mut self, kind: u8, error: PgError) -> Result<(), PgError> {
         let report = ErrorReport::new(sqlstate::PROTOCOL_VIOLATION, error.to_string());
         match kind {
-            b'Q' if !self.skip_to_sync => self.answer_error(&report, true).await,
+            b'Q' if !self.skip_to_sync => {
+                self.handle_sync(false).await?;
+                if self.skip_to_sync {
+                    return Ok(());
+                }
+                self.answer_error(&report, true).await
+            }
             b'Q' | b'P' | b'B' | b'C' | b'D' | b'E' => self.refuse_batch(&report).await,
             _ => {
                 self.send(&[report.with_fatal().to_message()]).await?;
@@ -192,7 +198,13 @@
         match message {
             PgWireFrontendMessage::Sync(_) => self.handle_sync(true).await,
             _ if self.skip_to_sync => Ok(()),
-            PgWireFrontendMessage::Query(query) => self.handle_query(&query.query).await,
+            PgWireFrontendMessage::Query(query) => {
+                self.handle_sync(false).await?;
+                if self.skip_to_sync {
+                    return Ok(());
+                }
+                self.handle_query(&query.query).await
+            }
             PgWireFrontendMessage::Flush(_) => self.handle_sync(false).await,
             message if message.is_extended_query() => match self.batch.push(message) {
                 Ok(()) => Ok(()),
@@ -255,8 +267,8 @@
         self.run(work, true).await
     }
 
-    /// Runs the batch. `ready` is set if the caller expects `ReadyForQuery`,
-    /// which a `Flush` does not bring.
+    /// Runs the batch. `ready` is set if the caller expects `ReadyForQuery`, which a
+    /// `Flush` does not bring, nor a `Query` behind the batch.
     async fn handle_sync(&mut self, ready: bool) -> Result<(), PgError> {
         if std::mem::take(&mut self.skip_to_sync) {
             let message = self.ready();
--- a/tests/messages.rs
+++ b/tests/messages.rs
@@ -151,6 +151,23 @@
     });
 }
 
+#[test]
+fn query_behind_a_batch_without_sync_is_answered_after_it() {
+    with_caller(|caller| {
+        caller.send(&parse("", "SELECT 'batch'"));
+        caller.send(&[bind(""), execute(), query("SELECT 'query'")].concat());
+        let mut rows = Vec::new();
+        loop {
+            match caller.read_message() {
+                ('D', body) => rows.push(body[6..].to_owned()),
+                ('Z', _) => break,
+                _ => {}
+            }
+        }
+        assert_eq!(rows, ["batch", "query"]);
+    });
+}
+
 /// A second `ReadyForQuery` for one `Sync` shifts all later answers by one.
 #[test]
 fn flush_after_an_error_brings_no_ready_for_query() {
