PostgreSQL entry: each setting of a batch gets its own answer

What callers saw: nothing was reported. `SHOW fulmarrill.service` and `SHOW fulmarrill.customer` in one batch, as a pipelining driver sends them, were both answered with the second; of two `SET` the second ran twice and the first never.

Cause: the statement of an `Execute` was looked up by the name of its portal when the batch was answered, after a later `Bind` had given that name to another statement. Batches for instances keep their order and are not affected.

Fix: it is looked up when the message arrives and kept with it.

Evidence: the test failed before:

panicked at tests/messages.rs:194:9: assertion `left == right` failed left: ["customer 1", "customer 1"] right: ["service 1", "customer 1"]

--- a/crates/host/src/entry/batch.rs
+++ b/crates/host/src/entry/batch.rs
@@ -8,7 +8,6 @@
 use std::collections::HashMap;
 use std::fmt::Write as _;
 
-use bytes::BytesMut;
 use compact_str::CompactString;
 use fulmarrill_peer::PreparedParse;
 use fulmarrill_pg::{ErrorReport, PgError, encode_frontend, sqlstate};
@@ -64,13 +63,23 @@
     pub executes: bool,
 }
 
+/// A message of a batch.
+#[derive(Debug)]
+pub struct BatchMessage {
+    /// The message, with the names that instances know.
+    pub message: PgWireFrontendMessage,
+    /// The statement that it executes or describes, if the session knows it. A later
+    /// message may give its name to another statement.
+    pub statement: Option<CallerStatement>,
+}
+
 /// Prepared statements and portals of a session, and the messages since the
 /// last `Sync`.
 #[derive(Debug, Default)]
 pub struct StatementBatch {
     statements: HashMap<String, CallerStatement>,
     portals: HashMap<String, CallerStatement>,
-    messages: Vec<PgWireFrontendMessage>,
+    messages: Vec<BatchMessage>,
     used: Vec<CallerStatement>,
     parsed: Vec<CompactString>,
     remote: bool,
@@ -90,11 +99,20 @@
             PgWireFrontendMessage::Bind(bind) => self.push_bind(bind),
             PgWireFrontendMessage::Describe(describe) => self.push_describe(describe),
             PgWireFrontendMessage::Close(close) => self.push_close(close),
-            other => self.messages.push(other),
+            PgWireFrontendMessage::Execute(execute) => {
+                let portal = execute.name.as_deref().unwrap_or_default();
+                let statement = self.portals.get(portal).cloned();
+                self.add(PgWireFrontendMessage::Execute(execute), statement);
+            }
+            other => self.add(other, None),
         }
         Ok(())
     }
 
+    fn add(&mut self, message: PgWireFrontendMessage, statement: Option<CallerStatement>) {
+        self.messages.push(BatchMessage { message, statement });
+    }
+
     fn push_parse(&mut self, parse: Parse) -> Result<(), ErrorReport> {
         if self.statements.len() >= STATEMENTS_MAX {
             let text = format!("session has prepared {STATEMENTS_MAX} statements already");
@@ -118,7 +136,7 @@
         self.statements
             .insert(parse.name.unwrap_or_default(), statement);
         self.parsed.push(name);
-        self.messages.push(message);
+        self.add(message, None);
         Ok(())
     }
 
@@ -136,7 +154,7 @@
             // The database does not know the name either and reports the error.
             bind.statement_name = Some(name);
             self.remote = true;
-            self.messages.push(PgWireFrontendMessage::Bind(bind));
+            self.add(PgWireFrontendMessage::Bind(bind), None);
             return;
         };
         bind.statement_name = Some(statement.prepared.name.to_string());
@@ -144,29 +162,26 @@
         let portal = bind.portal_name.clone().unwrap_or_default();
         self.portals.insert(portal, statement.clone());
         self.used.push(statement);
-        self.messages.push(PgWireFrontendMessage::Bind(bind));
+        self.add(PgWireFrontendMessage::Bind(bind), None);
     }
 
     fn push_describe(&mut self, describe: Describe) {
         let name = describe.name.clone().unwrap_or_default();
-        let statement = self.statements.get(&name).cloned();
         if describe.target_type != TARGET_TYPE_BYTE_STATEMENT {
-            self.messages
-                .push(PgWireFrontendMessage::Describe(describe));
+            let statement = self.portals.get(&name).cloned();
+            self.add(PgWireFrontendMessage::Describe(describe), statement);
             return;
         }
-        let Some(statement) = statement else {
+        let Some(statement) = self.statements.get(&name).cloned() else {
             self.remote = true;
-            self.messages
-                .push(PgWireFrontendMessage::Describe(describe));
+            self.add(PgWireFrontendMessage::Describe(describe), None);
             return;
         };
         self.mark_destination(&statement);
         let name = Some(statement.prepared.name.to_string());
         let describe = Describe::new(TARGET_TYPE_BYTE_STATEMENT, name);
-        self.used.push(statement);
-        self.messages
-            .push(PgWireFrontendMessage::Describe(describe));
+        self.used.push(statement.clone());
+        self.add(PgWireFrontendMessage::Describe(describe), Some(statement));
     }
 
     fn push_close(&mut self, close: Close) {
@@ -178,7 +193,7 @@
             self.statements
                 .remove(&close.name.take().unwrap_or_default());
         }
-        self.messages.push(PgWireFrontendMessage::Close(close));
+        self.add(PgWireFrontendMessage::Close(close), None);
     }
 
     /// Where the batch is answered.
@@ -205,7 +220,7 @@
     fn executes(&self) -> bool {
         self.messages
             .iter()
-            .any(|message| matches!(message, PgWireFrontendMessage::Execute(_)))
+            .any(|entry| matches!(entry.message, PgWireFrontendMessage::Execute(_)))
     }
 
     /// Whether the batch mixes statements for the entry with statements for an
@@ -217,38 +232,26 @@
 
     /// Takes the messages out of the batch, for the entry to answer.
     #[must_use]
-    pub fn take_messages(&mut self) -> Vec<PgWireFrontendMessage> {
+    pub fn take_messages(&mut self) -> Vec<BatchMessage> {
         std::mem::take(&mut self.messages)
     }
 
-    /// Finds a prepared statement by the name derived from its content.
-    #[must_use]
-    pub fn find_by_content_name(&self, name: &str) -> Option<&CallerStatement> {
-        self.statements
-            .values()
-            .find(|statement| statement.prepared.name == name)
-    }
-
-    /// The statement bound to a portal, if the session knows it.
-    #[must_use]
-    pub fn find_portal(&self, portal: &str) -> Option<&CallerStatement> {
-        self.portals.get(portal)
-    }
-
     /// Ends the batch with a `Sync` and encodes it.
     ///
     /// # Errors
     ///
     /// If a message cannot be encoded.
     pub fn finish(&mut self) -> Result<ReadyBatch, ErrorReport> {
-        self.messages.push(PgWireFrontendMessage::Sync(Sync::new()));
-        let payload: BytesMut =
-            encode_frontend(&self.messages).map_err(|error| encode_report(&error))?;
         let mut batch = ReadyBatch {
-            payload: payload.to_vec(),
             executes: self.executes(),
             ..ReadyBatch::default()
         };
+        self.add(PgWireFrontendMessage::Sync(Sync::new()), None);
+        for BatchMessage { message, .. } in &self.messages {
+            let bytes = encode_frontend(std::slice::from_ref(message))
+                .map_err(|error| encode_report(&error))?;
+            batch.payload.extend_from_slice(&bytes);
+        }
         for statement in &self.used {
             let is_listed = |prepared: &PreparedParse| prepared.name == statement.prepared.name;
             if !self.parsed.contains(&statement.prepared.name)
--- a/crates/host/src/entry/session.rs
+++ b/crates/host/src/entry/session.rs
@@ -27,7 +27,7 @@
 use smol::net::TcpStream;
 
 use crate::context::SharedContext;
-use crate::entry::batch::{BatchTarget, StatementBatch};
+use crate::entry::batch::{BatchMessage, BatchTarget, StatementBatch};
 use crate::entry::local::{LocalStatement, parse_local};
 use crate::entry::options::{CallerIdentity, parse_identity};
 use crate::entry::reads::run_read;
@@ -378,7 +378,8 @@
 
     async fn answer_local_batch(&mut self, ready: bool) -> Result<(), PgError> {
         let mut messages = Vec::new();
-        for message in self.batch.take_messages() {
+        for BatchMessage { message, statement } in self.batch.take_messages() {
+            let local = statement.and_then(|statement| statement.local);
             match message {
                 PgWireFrontendMessage::Parse(_) => {
                     messages.push(PgWireBackendMessage::ParseComplete(ParseComplete::new()));
@@ -390,26 +391,16 @@
                     messages.push(PgWireBackendMessage::CloseComplete(CloseComplete::new()));
                 }
                 PgWireFrontendMessage::Describe(describe) => {
-                    let name = describe.name.unwrap_or_default();
-                    let of_statement = describe.target_type == TARGET_TYPE_BYTE_STATEMENT;
-                    if of_statement {
+                    if describe.target_type == TARGET_TYPE_BYTE_STATEMENT {
                         let none = ParameterDescription::new(Vec::new());
                         messages.push(PgWireBackendMessage::ParameterDescription(none));
                     }
-                    let statement = if of_statement {
-                        self.batch.find_by_content_name(&name)
-                    } else {
-                        self.batch.find_portal(&name)
-                    };
-                    match statement.and_then(|statement| statement.local.as_ref()) {
-                        Some(LocalStatement::Show(name)) => messages.push(describe_text(name)),
+                    match local {
+                        Some(LocalStatement::Show(name)) => messages.push(describe_text(&name)),
                         _ => messages.push(PgWireBackendMessage::NoData(NoData::new())),
                     }
                 }
-                PgWireFrontendMessage::Execute(execute) => {
-                    let portal = execute.name.unwrap_or_default();
-                    let statement = self.batch.find_portal(&portal);
-                    let local = statement.and_then(|statement| statement.local.clone());
+                PgWireFrontendMessage::Execute(_) => {
                     if let Some(local) = local {
                         messages.extend(self.run_local(&local, false));
                     }
--- a/tests/messages.rs
+++ b/tests/messages.rs
@@ -100,18 +100,23 @@
         types
     }
 
-    /// Runs a query and returns the text of its first row.
-    fn first_row(&mut self, text: &str) -> String {
-        self.send(&query(text));
-        let mut row = String::new();
+    /// Reads messages up to `ReadyForQuery` and returns the texts of the rows.
+    fn read_rows(&mut self) -> Vec<String> {
+        let mut rows = Vec::new();
         loop {
             match self.read_message() {
-                ('D', body) if row.is_empty() => body[6..].clone_into(&mut row),
-                ('Z', _) => return row,
+                ('D', body) => rows.push(body[6..].to_owned()),
+                ('Z', _) => return rows,
                 _ => {}
             }
         }
     }
+
+    /// Runs a query and returns the text of its first row.
+    fn first_row(&mut self, text: &str) -> String {
+        self.send(&query(text));
+        self.read_rows().swap_remove(0)
+    }
 }
 
 fn with_caller(work: impl FnOnce(&mut RawCaller)) {
@@ -156,15 +161,7 @@
     with_caller(|caller| {
         caller.send(&parse("", "SELECT 'batch'"));
         caller.send(&[bind(""), execute(), query("SELECT 'query'")].concat());
-        let mut rows = Vec::new();
-        loop {
-            match caller.read_message() {
-                ('D', body) => rows.push(body[6..].to_owned()),
-                ('Z', _) => break,
-                _ => {}
-            }
-        }
-        assert_eq!(rows, ["batch", "query"]);
+        assert_eq!(caller.read_rows(), ["batch", "query"]);
     });
 }
 
@@ -183,3 +180,17 @@
         }
     });
 }
+
+#[test]
+fn settings_of_one_batch_are_answered_each_by_its_own_value() {
+    with_caller(|caller| {
+        let set = |name: &str| parse("", &format!("SET fulmarrill.{name} = '{name} 1'"));
+        caller.send(&[set("service"), bind(""), execute()].concat());
+        caller.send(&[set("customer"), bind(""), execute(), sync()].concat());
+        assert_eq!(caller.read_until_ready(), "12C12CZ");
+        let show = |name: &str| parse("", &format!("SHOW fulmarrill.{name}"));
+        caller.send(&[show("service"), bind(""), execute()].concat());
+        caller.send(&[show("customer"), bind(""), execute(), sync()].concat());
+        assert_eq!(caller.read_rows(), ["service 1", "customer 1"]);
+    });
+}
