PostgreSQL entry: an error in a batch of settings ends the batch

What callers saw: nothing was reported. The messages after a failed `SET` or `SHOW` in a batch were answered all the same, while drivers expect nothing but `ReadyForQuery` after the error.

Fix: the batch ends with the error; behind a `Flush`, the messages up to the next `Sync` are ignored too.

Evidence: the test failed before:

panicked at tests/messages.rs:191:9: assertion `left == right` failed left: "12E12DCZ" right: "12EZ"

--- a/crates/host/src/entry/session.rs
+++ b/crates/host/src/entry/session.rs
@@ -407,6 +407,13 @@
                 }
                 _ => {}
             }
+            if matches!(
+                messages.last(),
+                Some(PgWireBackendMessage::ErrorResponse(_))
+            ) {
+                self.skip_to_sync = !ready;
+                break;
+            }
         }
         if ready {
             messages.push(self.ready());
--- a/tests/messages.rs
+++ b/tests/messages.rs
@@ -181,6 +181,18 @@
     });
 }
 
+#[test]
+fn failed_setting_ends_its_batch() {
+    with_caller(|caller| {
+        caller.send(&parse("", "SHOW fulmarrill.nothing"));
+        caller.send(&[bind(""), execute()].concat());
+        caller.send(&parse("", "SHOW fulmarrill.service"));
+        caller.send(&[bind(""), execute(), sync()].concat());
+        assert_eq!(caller.read_until_ready(), "12EZ");
+        assert_eq!(caller.first_row("SELECT 'next'"), "next");
+    });
+}
+
 #[test]
 fn settings_of_one_batch_are_answered_each_by_its_own_value() {
     with_caller(|caller| {
