PostgreSQL entry: the end of a lost transaction is answered message by message

After a transaction was lost, the entry answered the batch that ends it with the replies to `Parse`, `Bind` and `Execute`, whatever the batch held. Drivers that prepare their `ROLLBACK` once, or describe it, got a reply that they had not asked for and missed another.

Fix: such a batch is answered message by message, as batches of settings are.

--- a/crates/host/src/entry/session.rs
+++ b/crates/host/src/entry/session.rs
@@ -293,6 +293,9 @@
             }
             BatchTarget::Nothing => Ok(()),
             BatchTarget::Local => self.answer_local_batch(ready).await,
+            BatchTarget::Remote(_) if matches!(self.transaction, SessionTransaction::Failed) => {
+                self.answer_local_batch(ready).await
+            }
             BatchTarget::Remote(class) => match self.batch.finish() {
                 Ok(batch) => {
                     let work = SessionWork {
@@ -376,37 +379,11 @@
         }
     }
 
+    /// Answers a batch that no instance runs.
     async fn answer_local_batch(&mut self, ready: bool) -> Result<(), PgError> {
         let mut messages = Vec::new();
-        for BatchMessage { message, statement } in self.batch.take_messages() {
-            let local = statement.and_then(|statement| statement.local);
-            match message {
-                PgWireFrontendMessage::Parse(_) => {
-                    messages.push(PgWireBackendMessage::ParseComplete(ParseComplete::new()));
-                }
-                PgWireFrontendMessage::Bind(_) => {
-                    messages.push(PgWireBackendMessage::BindComplete(BindComplete::new()));
-                }
-                PgWireFrontendMessage::Close(_) => {
-                    messages.push(PgWireBackendMessage::CloseComplete(CloseComplete::new()));
-                }
-                PgWireFrontendMessage::Describe(describe) => {
-                    if describe.target_type == TARGET_TYPE_BYTE_STATEMENT {
-                        let none = ParameterDescription::new(Vec::new());
-                        messages.push(PgWireBackendMessage::ParameterDescription(none));
-                    }
-                    match local {
-                        Some(LocalStatement::Show(name)) => messages.push(describe_text(&name)),
-                        _ => messages.push(PgWireBackendMessage::NoData(NoData::new())),
-                    }
-                }
-                PgWireFrontendMessage::Execute(_) => {
-                    if let Some(local) = local {
-                        messages.extend(self.run_local(&local, false));
-                    }
-                }
-                _ => {}
-            }
+        for entry in self.batch.take_messages() {
+            messages.extend(self.answer_message(entry));
             if matches!(
                 messages.last(),
                 Some(PgWireBackendMessage::ErrorResponse(_))
@@ -421,6 +398,56 @@
         self.send(&messages).await
     }
 
+    /// The replies to one message of a batch that no instance runs.
+    fn answer_message(&mut self, entry: BatchMessage) -> Vec<PgWireBackendMessage> {
+        let local = entry.statement.as_ref().and_then(|s| s.local.clone());
+        let is_failed = matches!(self.transaction, SessionTransaction::Failed);
+        let is_refused = is_failed
+            && local.is_none()
+            && entry
+                .statement
+                .is_some_and(|statement| !ends_transaction(&statement.text));
+        if is_refused {
+            return vec![failed_transaction_report().to_message()];
+        }
+        match entry.message {
+            PgWireFrontendMessage::Parse(_) => {
+                vec![PgWireBackendMessage::ParseComplete(ParseComplete::new())]
+            }
+            PgWireFrontendMessage::Bind(_) => {
+                vec![PgWireBackendMessage::BindComplete(BindComplete::new())]
+            }
+            PgWireFrontendMessage::Close(_) => {
+                vec![PgWireBackendMessage::CloseComplete(CloseComplete::new())]
+            }
+            PgWireFrontendMessage::Describe(describe) => {
+                let mut messages = Vec::new();
+                if describe.target_type == TARGET_TYPE_BYTE_STATEMENT {
+                    let none = ParameterDescription::new(Vec::new());
+                    messages.push(PgWireBackendMessage::ParameterDescription(none));
+                }
+                messages.push(match local {
+                    Some(LocalStatement::Show(name)) => describe_text(&name),
+                    _ => PgWireBackendMessage::NoData(NoData::new()),
+                });
+                messages
+            }
+            PgWireFrontendMessage::Execute(_) => match local {
+                Some(local) => self.run_local(&local, false),
+                None if is_failed => vec![self.end_failed_transaction()],
+                None => Vec::new(),
+            },
+            _ => Vec::new(),
+        }
+    }
+
+    /// Ends the failed transaction, which the database has rolled back.
+    fn end_failed_transaction(&mut self) -> PgWireBackendMessage {
+        self.transaction = SessionTransaction::Idle;
+        let tag = CommandComplete::new("ROLLBACK".to_owned());
+        PgWireBackendMessage::CommandComplete(tag)
+    }
+
     /// Runs a request at an instance, records it and answers the caller.
     async fn run(&mut self, work: SessionWork, ready: bool) -> Result<(), PgError> {
         if matches!(self.transaction, SessionTransaction::Failed) {
@@ -580,33 +607,29 @@
         self.stream.write(&bytes).await
     }
 
-    /// Answers a request in a failed transaction: only the end of the
-    /// transaction is accepted.
+    /// Answers a query in a failed transaction: only the end of the transaction is
+    /// accepted.
     async fn answer_in_failed_transaction(
         &mut self,
         work: &SessionWork,
         ready: bool,
     ) -> Result<(), PgError> {
-        if work.ends_transaction {
-            self.transaction = SessionTransaction::Idle;
-            let tag = CommandComplete::new("ROLLBACK".to_owned());
-            let mut messages = Vec::new();
-            if work.payload.first() != Some(&b'Q') {
-                messages.push(PgWireBackendMessage::ParseComplete(ParseComplete::new()));
-                messages.push(PgWireBackendMessage::BindComplete(BindComplete::new()));
-            }
-            messages.push(PgWireBackendMessage::CommandComplete(tag));
-            if ready {
-                messages.push(self.ready());
-            }
-            return self.send(&messages).await;
+        if !work.ends_transaction {
+            return self.answer_error(&failed_transaction_report(), ready).await;
+        }
+        let mut messages = vec![self.end_failed_transaction()];
+        if ready {
+            messages.push(self.ready());
         }
-        let text = "current transaction is aborted, commands ignored until end of block";
-        let report = ErrorReport::new(sqlstate::FAILED_TRANSACTION, text);
-        self.answer_error(&report, ready).await
+        self.send(&messages).await
     }
 }
 
+fn failed_transaction_report() -> ErrorReport {
+    let text = "current transaction is aborted, commands ignored until end of block";
+    ErrorReport::new(sqlstate::FAILED_TRANSACTION, text)
+}
+
 fn unknown_setting(name: &str) -> ErrorReport {
     let text = format!(
         "unrecognized setting \"fulmarrill.{name}\"; there are service, place, customer, \
--- a/tests/messages.rs
+++ b/tests/messages.rs
@@ -2,9 +2,10 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fulmarrill_fleet::LocalFleet;
+use fulmarrill_pg::{ConnectTarget, DatabaseConnection};
 
 use crate::util::{DATABASE, caller_addresses, lock_fleet, small_layout};
 
@@ -38,6 +39,10 @@
     message(b'E', b"\0\0\0\0\0")
 }
 
+fn describe(name: &str) -> Vec<u8> {
+    message(b'D', &[b"S", name.as_bytes(), b"\0"].concat())
+}
+
 fn sync() -> Vec<u8> {
     message(b'S', b"")
 }
@@ -119,10 +124,29 @@
     }
 }
 
-fn with_caller(work: impl FnOnce(&mut RawCaller)) {
+fn with_fleet(work: impl FnOnce(&LocalFleet, &mut RawCaller)) {
     let _fleet_lock = lock_fleet();
     let fleet = smol::block_on(LocalFleet::start(small_layout())).expect("the fleet starts");
-    work(&mut RawCaller::connect(&caller_addresses(&fleet)[0]));
+    let mut caller = RawCaller::connect(&caller_addresses(&fleet)[0]);
+    work(&fleet, &mut caller);
+}
+
+fn with_caller(work: impl FnOnce(&mut RawCaller)) {
+    with_fleet(|_, caller| work(caller));
+}
+
+/// Ends the sessions of the primary.
+async fn terminate_sessions(fleet: &LocalFleet) {
+    let group = fleet.group(DATABASE).expect("a group");
+    let primary = group.primary_instance().expect("a primary");
+    let target = ConnectTarget::new(&primary.address, "city", DATABASE);
+    let deadline = Instant::now() + READ_TIMEOUT;
+    let connection = DatabaseConnection::connect(&target, deadline);
+    let mut connection = connection.await.expect("connected");
+    for id in 1..connection.process_id() {
+        let sql = format!("SELECT pg_terminate_backend({id})");
+        connection.query(&sql, deadline).await.expect("terminated");
+    }
 }
 
 /// A statement cut at a zero byte would have deleted every row.
@@ -193,6 +217,26 @@
     });
 }
 
+/// Each message of a batch has its own reply, also where the entry ends a
+/// transaction that was lost.
+#[test]
+fn end_of_a_lost_transaction_is_answered_message_by_message() {
+    with_fleet(|fleet, caller| {
+        caller.send(&[parse("end", "ROLLBACK"), parse("read", "SELECT 1"), sync()].concat());
+        assert_eq!(caller.read_until_ready(), "11Z");
+        caller.send(&query("BEGIN"));
+        assert_eq!(caller.read_until_ready(), "CZ");
+        smol::block_on(terminate_sessions(fleet));
+        caller.send(&query("SELECT 1"));
+        assert_eq!(caller.read_until_ready(), "EZ");
+        caller.send(&[describe("read"), bind("read"), execute(), sync()].concat());
+        assert_eq!(caller.read_until_ready(), "EZ");
+        caller.send(&[bind("end"), describe("end"), execute(), sync()].concat());
+        assert_eq!(caller.read_until_ready(), "2tnCZ");
+        assert_eq!(caller.first_row("SELECT 'next'"), "next");
+    });
+}
+
 #[test]
 fn settings_of_one_batch_are_answered_each_by_its_own_value() {
     with_caller(|caller| {
