PostgreSQL owner: answers that belong to another statement are recognized

What callers saw: nothing was reported on this path. Answers are paired with statements by their order on a shared connection.

Cause: nothing in an answer shows which statement it belongs to.

Fix: the status query that goes out with every statement, and every command of the coordinator, carries a number that its answer repeats; the claim of a request key returns one too. An answer at the wrong place makes the exchange fail before anything of it is used or stored, and the connection is terminated. A read is sent again, and the outcome of a write is reported as unknown.

Evidence: the stand-in database can now send one of so many answers twice, in turn right behind the first and before the next answer.

Ruled out: PostgreSQL itself answers each statement once. A statement whose own answer comes twice at once is reported as unknown although its answer arrived.

--- a/crates/host/src/owner/keyed.rs
+++ b/crates/host/src/owner/keyed.rs
@@ -20,7 +20,7 @@
 };
 use fulmarrill_runtime::timeout_at;
 
-use crate::owner::adapter::DatabaseAdapter;
+use crate::owner::adapter::{DatabaseAdapter, StatusQuery, next_number};
 use crate::owner::pool::PoolLease;
 use crate::owner::replies::rewrite_batch;
 use crate::owner::work::{
@@ -117,6 +117,8 @@
     let pooled = lease.pooled();
     let batch = rewrite_batch(&request.prepared, &request.payload, &pooled.prepared);
     let claim = claim_sql(key, &request.customer, hash);
+    let number = next_number();
+    let claim = format!("{claim}; SELECT {number}");
     let mut bytes = DatabaseConnection::encode_query(&claim)?;
     bytes.extend_from_slice(&batch.bytes);
     let connection = &mut pooled.connection;
@@ -134,6 +136,10 @@
         }
         return Ok(KeyedResult::ClaimFailed(message));
     }
+    // Nothing was stored or committed yet, and the connection is terminated.
+    if !is_claim_answer(&claimed, &number) || is_claim_answer(&answer, &number) {
+        return Err(PgError::Unsolicited);
+    }
     let mut payload = batch.restore_replies(&answer.messages);
     set_status(&mut payload, STATUS_IDLE);
     if answer.status != STATUS_TRANSACTION {
@@ -144,6 +150,16 @@
     Ok(KeyedResult::Ran(checked))
 }
 
+/// Whether an answer is that of the claim with this number.
+fn is_claim_answer(answer: &BackendResponse, number: &str) -> bool {
+    let begins = answer
+        .split()
+        .iter()
+        .any(|message| message.starts_with(b"C\0\0\0\x0aBEGIN"));
+    let row = answer.first_row();
+    begins && row.is_some_and(|row| row.text(0) == Some(number))
+}
+
 /// Stores the answer in the row of the key, commits, and queries the status.
 async fn store_and_commit(
     connection: &mut DatabaseConnection,
@@ -153,7 +169,8 @@
     deadline: Instant,
 ) -> Result<CheckedAnswer, PgError> {
     let mut bytes = DatabaseConnection::encode_query(&store_sql(key, &payload))?;
-    bytes.extend_from_slice(&DatabaseConnection::encode_query(DatabaseAdapter::STATUS)?);
+    let query = StatusQuery::new(DatabaseAdapter::STATUS);
+    bytes.extend_from_slice(&query.encode()?);
     timeout_at(deadline, connection.send(&bytes, 2)).await??;
     let mut stored = timeout_at(deadline, connection.read_response()).await??;
     if stored.status == STATUS_FAILED {
@@ -163,7 +180,7 @@
         return roll_back(connection, stored.clone(), stored.messages, deadline).await;
     }
     let status = timeout_at(deadline, connection.read_response()).await??;
-    let status = DatabaseAdapter::read_status(&status)?;
+    let status = query.read(&status)?;
     if stored.error.is_some() {
         // The commit was refused, and the caller gets that error.
         payload = stored.messages.split();
@@ -186,11 +203,12 @@
     deadline: Instant,
 ) -> Result<CheckedAnswer, PgError> {
     let mut bytes = DatabaseConnection::encode_query("ROLLBACK")?;
-    bytes.extend_from_slice(&DatabaseConnection::encode_query(DatabaseAdapter::STATUS)?);
+    let query = StatusQuery::new(DatabaseAdapter::STATUS);
+    bytes.extend_from_slice(&query.encode()?);
     timeout_at(deadline, connection.send(&bytes, 2)).await??;
     timeout_at(deadline, connection.read_response()).await??;
     let status = timeout_at(deadline, connection.read_response()).await??;
-    let status = DatabaseAdapter::read_status(&status)?;
+    let status = query.read(&status)?;
     set_status(&mut payload, STATUS_IDLE);
     answer.status = STATUS_IDLE;
     Ok(CheckedAnswer {
--- a/crates/host/src/owner/work.rs
+++ b/crates/host/src/owner/work.rs
@@ -6,14 +6,14 @@
 use bytes::BytesMut;
 use compact_str::{CompactString, format_compact};
 use fulmarrill_peer::{NotRunReason, PinId, WorkAnswer, WorkKind, WorkRequest};
-use fulmarrill_pg::{BackendResponse, DatabaseConnection, PgError, STATUS_IDLE, sqlstate};
+use fulmarrill_pg::{BackendResponse, PgError, STATUS_FAILED, STATUS_IDLE, sqlstate};
 use fulmarrill_position::{InstanceRole, InstanceStatus, LogPoint};
 use fulmarrill_replication::{DatabaseGroup, GroupInstance};
 use fulmarrill_runtime::timeout_at;
 use fulmarrill_schedule::AdmissionRefusal;
 
 use crate::context::SharedContext;
-use crate::owner::adapter::DatabaseAdapter;
+use crate::owner::adapter::{DatabaseAdapter, StatusQuery};
 use crate::owner::instance::InstanceOwner;
 use crate::owner::keyed::run_keyed;
 use crate::owner::pool::{PoolError, PoolLease, PooledConnection};
@@ -207,14 +207,19 @@
 ) -> Result<CheckedAnswer, PgError> {
     let pooled = lease.pooled();
     let batch = rewrite_batch(&request.prepared, &request.payload, &pooled.prepared);
-    let mut bytes = DatabaseConnection::encode_query(DatabaseAdapter::STATUS)?;
+    let query = StatusQuery::new(DatabaseAdapter::STATUS);
+    let mut bytes = query.encode()?;
     bytes.extend_from_slice(&batch.bytes);
     let status_until = request.deadline.min(Instant::now() + STATUS_TIMEOUT);
     let connection = &mut pooled.connection;
     timeout_at(status_until, connection.send(&bytes, 2)).await??;
     let status = timeout_at(status_until, connection.read_response()).await??;
-    let status = DatabaseAdapter::read_status(&status)?;
+    let status = query.read(&status)?;
     let answer = timeout_at(request.deadline, connection.read_response()).await??;
+    if query.read(&answer).is_ok() {
+        // The status was sent twice, and the answer is still to come.
+        return Err(PgError::Unsolicited);
+    }
     let payload = batch.restore_replies(&answer.messages);
     note_prepared(pooled, &batch, &answer);
     Ok(CheckedAnswer {
@@ -231,17 +236,22 @@
 ) -> Result<CheckedAnswer, PgError> {
     let pooled = lease.pooled();
     let batch = rewrite_batch(&request.prepared, &request.payload, &pooled.prepared);
+    let query = StatusQuery::new(DatabaseAdapter::STATUS);
     let mut bytes = batch.bytes.clone();
-    bytes.extend_from_slice(&DatabaseConnection::encode_query(DatabaseAdapter::STATUS)?);
+    bytes.extend_from_slice(&query.encode()?);
     let connection = &mut pooled.connection;
     timeout_at(request.deadline, connection.send(&bytes, 2)).await??;
     let answer = timeout_at(request.deadline, connection.read_response()).await??;
     let status = timeout_at(request.deadline, connection.read_response()).await??;
-    let status = match DatabaseAdapter::read_status(&status) {
+    let status = match query.read(&status) {
         Ok(status) => status,
         // A failed transaction accepts no status query, and its changes do not
         // take effect.
-        Err(_) if answer.status == fulmarrill_pg::STATUS_FAILED => placeholder_status(),
+        Err(PgError::Server { code, .. })
+            if answer.status == STATUS_FAILED && code == sqlstate::FAILED_TRANSACTION =>
+        {
+            placeholder_status()
+        }
         Err(error) => return Err(error),
     };
     let payload = batch.restore_replies(&answer.messages);
@@ -422,7 +432,7 @@
 /// without rows shows no data; the end of its transaction is confirmed later,
 /// and waiting here would keep its locks for longer.
 fn needs_confirmation(answer: &BackendResponse) -> bool {
-    if answer.status == fulmarrill_pg::STATUS_FAILED {
+    if answer.status == STATUS_FAILED {
         return false;
     }
     let has_rows = || answer.split().iter().any(|message| message[0] == b'D');
--- a/crates/pg/src/client.rs
+++ b/crates/pg/src/client.rs
@@ -101,6 +101,14 @@
         messages
     }
 
+    /// Decodes the first row of the response, whose columns must be in text format.
+    #[must_use]
+    pub fn first_row(&self) -> Option<TextRow> {
+        let mut messages = self.split().into_iter();
+        let row = messages.find(|message| message[0] == DATA_ROW)?;
+        Some(TextRow::parse(&row[HEADER_BYTES..]))
+    }
+
     /// Decodes the rows of the response, whose columns must be in text format.
     #[must_use]
     pub fn rows(&self) -> Vec<TextRow> {
--- a/crates/standin/src/database/backend.rs
+++ b/crates/standin/src/database/backend.rs
@@ -99,6 +99,10 @@
     portals: HashMap<String, BoundPortal>,
     output: Vec<PgWireBackendMessage>,
     skip_to_sync: bool,
+    /// Number of answers sent.
+    answers: u64,
+    /// Answer to be sent once more before the next.
+    repeated: BytesMut,
 }
 
 impl BackendSession {
@@ -119,6 +123,8 @@
             portals: HashMap::new(),
             output: Vec::new(),
             skip_to_sync: false,
+            answers: 0,
+            repeated: BytesMut::new(),
         })
     }
 
@@ -155,15 +161,36 @@
             if matches!(message, PgWireFrontendMessage::Terminate(_)) {
                 return Ok(());
             }
+            let pulls = matches!(&message, PgWireFrontendMessage::Query(query)
+                if query.query.starts_with(PULL_PREFIX));
             let flush = self.handle(message).await;
             if flush {
                 let bytes = encode_backend(&self.output)?;
                 self.output.clear();
+                // Replicas pull the log without the proxy.
+                let bytes = if pulls { bytes } else { self.repeat(bytes) };
                 self.stream.write(&bytes).await?;
             }
         }
     }
 
+    /// Adds the answer that the faults let the session send a second time.
+    fn repeat(&mut self, answer: BytesMut) -> BytesMut {
+        self.answers += 1;
+        let mut bytes = std::mem::take(&mut self.repeated);
+        bytes.extend_from_slice(&answer);
+        let interval = self.state.faults().repeat_interval;
+        if interval == 0 || !self.answers.is_multiple_of(interval) {
+            return bytes;
+        }
+        if (self.answers / interval).is_multiple_of(2) {
+            bytes.extend_from_slice(&answer);
+        } else {
+            self.repeated = answer;
+        }
+        bytes
+    }
+
     /// Handles one message; returns whether the queued answers must be sent.
     async fn handle(&mut self, message: PgWireFrontendMessage) -> bool {
         match message {
--- a/crates/standin/src/database/instance.rs
+++ b/crates/standin/src/database/instance.rs
@@ -82,6 +82,9 @@
     pub apply_paused: bool,
     /// Factor on the time of every statement on a table; 0 means 1.
     pub slowness: u32,
+    /// Number of answers of a session after which one is sent twice, in turn right
+    /// behind the first or before the next answer; 0 means never.
+    pub repeat_interval: u64,
 }
 
 /// Why an instance refuses a command or a commit.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -8,7 +8,8 @@
 use fulmarrill_load::{
     CallerPool, LoadKind, LoadPlan, LoadReport, LoadStream, RequestOutcome, run_load,
 };
-use fulmarrill_standin::{PlatformFaults, PlatformMode};
+use fulmarrill_pg::{ConnectTarget, DatabaseConnection};
+use fulmarrill_standin::{InstanceFaults, PlatformFaults, PlatformMode};
 use serde_json::json;
 
 use crate::util::{
@@ -16,6 +17,9 @@
     wait_until,
 };
 
+/// Rounds of a caller that checks its own answers.
+const OWN_ROUNDS: usize = 50;
+
 async fn start() -> LocalFleet {
     LocalFleet::start(small_layout())
         .await
@@ -74,6 +78,72 @@
     });
 }
 
+/// Runs statements of a caller with texts of their own, and returns the number that
+/// were served. Asserts that each answer is that of its statement.
+async fn run_own_statements(address: CompactString, caller: usize) -> usize {
+    let target = ConnectTarget::new(&address, "city", DATABASE);
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    let connection = DatabaseConnection::connect(&target, deadline);
+    let mut connection = connection.await.expect("the host accepts");
+    let started = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let started = started.expect("a time").as_millis();
+    let mut served = 0;
+    for index in 0..OWN_ROUNDS {
+        let own = format!("{caller}-{index}");
+        let id = (caller * OWN_ROUNDS + index) * 2;
+        let insert = |id: usize| {
+            format!("INSERT INTO badges (id, holder) VALUES ({id}, '{own}') RETURNING holder")
+        };
+        let set_key = format!("SET fulmarrill.request_key = '{started}-{own}'");
+        let read = format!("SELECT '{own}', {index}");
+        for sql in [insert(id), read, set_key, insert(id + 1)] {
+            let Ok(rows) = connection.query(&sql, deadline).await else {
+                continue;
+            };
+            if sql.starts_with("SET") {
+                continue;
+            }
+            assert_eq!(rows.len(), 1, "{sql}");
+            assert_eq!(rows[0].text(0), Some(own.as_str()), "{sql}");
+            served += 1;
+        }
+    }
+    served
+}
+
+/// The connections of the hosts are shared, so that an answer sent twice would be
+/// taken for that of a statement of another session.
+#[test]
+fn answers_that_an_instance_sends_twice_reach_no_other_statement() {
+    let _fleet_lock = lock_fleet();
+    smol::block_on(async {
+        let fleet = start().await;
+        let group = fleet.group(DATABASE).expect("a group");
+        for instance in &group.instances {
+            let faults = InstanceFaults {
+                repeat_interval: 20,
+                ..InstanceFaults::default()
+            };
+            fleet.set_instance_faults(&instance.name, faults);
+        }
+        let mut callers = Vec::new();
+        for address in caller_addresses(&fleet) {
+            for _ in 0..2 {
+                callers.push(smol::spawn(run_own_statements(
+                    address.clone(),
+                    callers.len(),
+                )));
+            }
+        }
+        let all = callers.len() * OWN_ROUNDS * 3;
+        let mut served = 0;
+        for caller in callers {
+            served += caller.await;
+        }
+        assert!(served > all / 2, "{served} of {all} statements were served");
+    });
+}
+
 #[test]
 fn silent_peer_links_are_replaced() {
     let _fleet_lock = lock_fleet();
