PostgreSQL owner: a session altered in a transaction is not shared

What callers saw: nothing was reported. `SET`, `PREPARE` and `LISTEN` are refused outside of transactions, since connections are shared, but run inside one. What they set stayed on the connection: after `SET search_path` in one session, the statements of others read other tables, and got answers that were not their own.

Cause: a connection goes back to the pool once its transaction has ended, and only the transaction's own state ends with it.

Fix: the owner reads the command tags of all answers. A connection on which a statement changed the session is closed instead of shared.

Evidence: the stand-in database now keeps settings by session; the test failed before:

panicked at tests/messages.rs:266:13: assertion `left == right` failed left: "own" right: ""

Left: functions that change the session, such as `set_config` and `pg_advisory_lock`, show no tag of their own.

--- a/crates/host/src/owner/keyed.rs
+++ b/crates/host/src/owner/keyed.rs
@@ -24,7 +24,7 @@
 use crate::owner::pool::PoolLease;
 use crate::owner::replies::rewrite_batch;
 use crate::owner::work::{
-    CheckedAnswer, WorkContext, confirm_answer, note_prepared, terminate_connection,
+    CheckedAnswer, WorkContext, confirm_answer, note_session, terminate_connection,
 };
 use fulmarrill_slots::SlotGrant;
 
@@ -125,7 +125,7 @@
     timeout_at(deadline, connection.send(&bytes, 2)).await??;
     let claimed = timeout_at(deadline, connection.read_response()).await??;
     let answer = timeout_at(deadline, connection.read_response()).await??;
-    note_prepared(pooled, &batch, &answer);
+    note_session(pooled, &batch, &answer);
     let connection = &mut pooled.connection;
     if let Some(report) = &claimed.error {
         let taken = report.code == UNIQUE_VIOLATION;
--- a/crates/host/src/owner/pool.rs
+++ b/crates/host/src/owner/pool.rs
@@ -46,6 +46,9 @@
     pub connection: DatabaseConnection,
     /// Names of statements prepared on it.
     pub prepared: HashSet<CompactString>,
+    /// Whether a statement changed a setting or other state of the session, which a
+    /// later caller would meet.
+    pub is_altered: bool,
     used_at: Instant,
 }
 
@@ -193,6 +196,7 @@
                 lease.pooled = Some(PooledConnection {
                     connection,
                     prepared,
+                    is_altered: false,
                     used_at,
                 });
                 Ok(lease)
@@ -299,12 +303,14 @@
     }
 
     /// Returns the connection to the pool. It is closed instead if an answer is
-    /// outstanding, a transaction is open, or it has too many prepared statements.
+    /// outstanding, a transaction is open, its session was altered, or it has too
+    /// many prepared statements.
     pub fn give_back(mut self) {
         let Some(mut pooled) = self.pooled.take() else {
             return;
         };
-        if !pooled.connection.is_drained() || pooled.prepared.len() > PREPARED_MAX {
+        let is_clean = pooled.connection.is_drained() && !pooled.is_altered;
+        if !is_clean || pooled.prepared.len() > PREPARED_MAX {
             self.pooled = Some(pooled);
             return;
         }
--- a/crates/host/src/owner/work.rs
+++ b/crates/host/src/owner/work.rs
@@ -221,7 +221,7 @@
         return Err(PgError::Unsolicited);
     }
     let payload = batch.restore_replies(&answer.messages);
-    note_prepared(pooled, &batch, &answer);
+    note_session(pooled, &batch, &answer);
     Ok(CheckedAnswer {
         payload,
         answer,
@@ -255,7 +255,7 @@
         Err(error) => return Err(error),
     };
     let payload = batch.restore_replies(&answer.messages);
-    note_prepared(pooled, &batch, &answer);
+    note_session(pooled, &batch, &answer);
     Ok(CheckedAnswer {
         payload,
         answer,
@@ -275,18 +275,42 @@
     }
 }
 
-/// Records the statements that are now prepared on the connection: as many as
-/// it confirmed, in the order in which they were sent.
-pub(super) fn note_prepared(
+/// First words of the command tags of statements that change the session beyond its
+/// transaction.
+const SESSION_WORDS: [&[u8]; 9] = [
+    b"SET",
+    b"RESET",
+    b"PREPARE",
+    b"DEALLOCATE",
+    b"DECLARE",
+    b"LISTEN",
+    b"UNLISTEN",
+    b"DISCARD",
+    b"LOAD",
+];
+
+/// Whether a message completes a statement that changed the session.
+fn alters_session(message: &[u8]) -> bool {
+    let [b'C', _, _, _, _, tag @ ..] = message else {
+        return false;
+    };
+    let word = tag.split(|byte| matches!(byte, b' ' | 0)).next();
+    word.is_some_and(|word| SESSION_WORDS.contains(&word))
+}
+
+/// Records what the answer shows of the connection's session: whether a statement
+/// changed it, and the statements that are now prepared, as many as it confirmed, in
+/// the order in which they were sent.
+pub(super) fn note_session(
     pooled: &mut PooledConnection,
     batch: &RewrittenBatch,
     answer: &BackendResponse,
 ) {
-    let completed = answer
-        .split()
-        .iter()
-        .filter(|message| message[0] == b'1')
-        .count();
+    let mut completed = 0;
+    for message in answer.split() {
+        completed += usize::from(message[0] == b'1');
+        pooled.is_altered |= alters_session(message);
+    }
     for name in batch.added().iter().take(completed) {
         pooled.prepared.insert(name.clone());
     }
--- a/crates/standin/src/database/backend.rs
+++ b/crates/standin/src/database/backend.rs
@@ -99,6 +99,7 @@
     portals: HashMap<String, BoundPortal>,
     output: Vec<PgWireBackendMessage>,
     skip_to_sync: bool,
+    settings: HashMap<String, String>,
     /// Number of answers sent.
     answers: u64,
     /// Answer to be sent once more before the next.
@@ -123,6 +124,7 @@
             portals: HashMap::new(),
             output: Vec::new(),
             skip_to_sync: false,
+            settings: HashMap::new(),
             answers: 0,
             repeated: BytesMut::new(),
         })
@@ -546,7 +548,19 @@
                 self.roll_back();
                 Ok(EngineRows::default())
             }
-            StatementKind::Setting => Ok(EngineRows::default()),
+            StatementKind::Setting => {
+                let text = statement.sql.trim_start_matches("SET ");
+                if let Some((name, value)) = text.split_once(" = ") {
+                    self.settings.insert(name.to_owned(), value.to_owned());
+                }
+                Ok(EngineRows::default())
+            }
+            StatementKind::Show => {
+                let name = statement.sql.trim_start_matches("SHOW ");
+                let value = self.settings.get(name).map_or("", |value| value);
+                let sql = format!("SELECT '{}'", value.replace('\'', "''"));
+                run_statement(&self.connection, &sql, &[]).map_err(|error| engine_report(&error))
+            }
             StatementKind::Read => self.run_read(statement, parameters).await,
             StatementKind::Write => self.run_write(statement, parameters).await,
         }
--- a/crates/standin/src/database/sql.rs
+++ b/crates/standin/src/database/sql.rs
@@ -29,8 +29,10 @@
     Commit,
     /// `ROLLBACK`.
     Rollback,
-    /// Changes a setting; accepted and ignored.
+    /// Changes a setting of the session, without any other effect.
     Setting,
+    /// Returns a setting of the session.
+    Show,
 }
 
 /// A statement, parsed and rewritten for the embedded engine.
@@ -117,6 +119,7 @@
             savepoint: None, ..
         } => (StatementKind::Rollback, "ROLLBACK"),
         Statement::Set(_) => (StatementKind::Setting, "SET"),
+        Statement::ShowVariable { .. } => (StatementKind::Show, "SHOW"),
         Statement::Query(query) => match query.body.as_ref() {
             SetExpr::Insert(_) => (StatementKind::Write, "INSERT 0"),
             SetExpr::Update(_) => (StatementKind::Write, "UPDATE"),
--- a/tests/messages.rs
+++ b/tests/messages.rs
@@ -250,3 +250,22 @@
         assert_eq!(caller.read_rows(), ["service 1", "customer 1"]);
     });
 }
+
+/// Transactions run on shared connections.
+#[test]
+fn setting_made_in_a_transaction_does_not_reach_other_sessions() {
+    with_fleet(|fleet, caller| {
+        let mut other = RawCaller::connect(&caller_addresses(fleet)[0]);
+        for text in ["BEGIN", "SET search_path = own", "COMMIT"] {
+            caller.send(&query(text));
+            assert_eq!(caller.read_until_ready(), "CZ", "{text}");
+        }
+        for _ in 0..5 {
+            other.send(&query("BEGIN"));
+            assert_eq!(other.read_until_ready(), "CZ");
+            assert_eq!(other.first_row("SHOW search_path"), "");
+            other.send(&query("COMMIT"));
+            assert_eq!(other.read_until_ready(), "CZ");
+        }
+    });
+}
