Database connections: an error that ends early does not panic

What callers saw: nothing was reported. An `ErrorResponse` whose last field has no end made the task that read it panic, so that its caller waited until its deadline, or lost its session.

Cause: the decoder of `pgwire` reads past the end of the message.

Fix: the three fields that are used are read here, as far as they go.

--- a/crates/pg/src/report.rs
+++ b/crates/pg/src/report.rs
@@ -45,6 +45,9 @@
     pub const INTERNAL: &str = "XX000";
 }
 
+/// Size of a message header: type and length.
+const HEADER_BYTES: usize = 5;
+
 /// An error or notice with the fields that drivers display.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ErrorReport {
@@ -111,25 +114,23 @@
 
     /// Decodes a raw `ErrorResponse` message.
     ///
-    /// Missing fields are empty, as are all fields if the message cannot be
-    /// decoded. The severity of the message is not read.
+    /// Missing fields are empty, as are those behind a field that has no end. The
+    /// severity of the message is not read.
     #[must_use]
     pub fn from_message(message: &[u8]) -> Self {
-        let mut bytes = BytesMut::from(message);
         let mut report = Self::new("", "");
-        let context = crate::server::decode_context();
-        let Ok(Some(PgWireBackendMessage::ErrorResponse(response))) =
-            PgWireBackendMessage::decode(&mut bytes, &context)
-        else {
-            return report;
-        };
-        for (kind, text) in response.fields {
+        let mut rest = message.get(HEADER_BYTES..).unwrap_or_default();
+        while let Some((kind, field)) = rest.split_first()
+            && let Some(end) = field.iter().position(|byte| *byte == 0)
+        {
+            let text = String::from_utf8_lossy(&field[..end]).into_owned();
             match kind {
                 b'C' => report.code = text.into(),
                 b'M' => report.message = text,
                 b'D' => report.detail = Some(text),
                 _ => {}
             }
+            rest = &field[end + 1..];
         }
         report
     }
