Database connections: a ready-for-query without a known status ends the connection

What callers saw: nothing was reported. A `ReadyForQuery` without a status byte was taken for one outside of transactions, so that a connection could be shared, or a caller told that its transaction had ended, without the server saying so.

Fix: it is refused like a message with a wrong length.

Evidence: the test failed before:

panicked at crates/pg/tests/pairing.rs:245:13: []

PostgreSQL sends the byte always.

--- a/crates/pg/src/client.rs
+++ b/crates/pg/src/client.rs
@@ -11,10 +11,10 @@
 use pgwire::messages::startup::Startup;
 use smol::net::TcpStream;
 
-use crate::STATUS_IDLE;
 use crate::error::PgError;
 use crate::report::ErrorReport;
 use crate::stream::{MessageStream, encode_frontend};
+use crate::{STATUS_FAILED, STATUS_IDLE, STATUS_TRANSACTION};
 
 /// Message type of `ReadyForQuery`.
 const READY_FOR_QUERY: u8 = b'Z';
@@ -275,8 +275,12 @@
             messages.extend_from_slice(&message);
             match message[0] {
                 READY_FOR_QUERY => {
+                    let [status @ (STATUS_IDLE | STATUS_TRANSACTION | STATUS_FAILED)] =
+                        message[HEADER_BYTES..]
+                    else {
+                        return Err(PgError::InvalidFormat);
+                    };
                     self.pending_responses = self.pending_responses.saturating_sub(1);
-                    let status = message.get(HEADER_BYTES).copied().unwrap_or(STATUS_IDLE);
                     self.status = status;
                     return Ok(BackendResponse {
                         messages,
--- a/crates/pg/tests/pairing.rs
+++ b/crates/pg/tests/pairing.rs
@@ -229,3 +229,21 @@
         assert!(connection.is_reusable().await);
     });
 }
+
+/// Only the status tells whether a transaction is open.
+#[test]
+fn ready_for_query_without_a_known_status_ends_the_connection() {
+    smol::block_on(async {
+        for body in [&b""[..], b"X", b"II"] {
+            let (mut connection, mut server) = connect().await;
+            let serve = async {
+                read_request(&mut server).await;
+                server.write_all(&message(b'Z', body)).await.unwrap();
+            };
+            let run = connection.query("BEGIN", deadline());
+            let (result, ()) = futures_lite::future::zip(run, serve).await;
+            assert!(result.is_err(), "{body:?}");
+            assert!(!connection.is_reusable().await);
+        }
+    });
+}
