--- a/crates/host/src/entry/session.rs
+++ b/crates/host/src/entry/session.rs
@@ -27,7 +27,7 @@
 use smol::net::TcpStream;
 
 use crate::context::SharedContext;
-use crate::entry::batch::{BatchTarget, StatementBatch};
+use crate::entry::batch::{BatchMessage, BatchTarget, StatementBatch};
 use crate::entry::local::{LocalStatement, parse_local};
 use crate::entry::options::{CallerIdentity, parse_identity};
 use crate::entry::reads::run_read;
@@ -138,8 +138,14 @@
         accept_session(&mut self.stream, process_id).await?;
         loop {
             let mut message = self.stream.read_message().await?;
-            let Some(message) = decode_frontend(&mut message)? else {
-                continue;
+            let kind = message[0];
+            let message = match decode_frontend(&mut message) {
+                Ok(Some(message)) => message,
+                Ok(None) => continue,
+                Err(error) => {
+                    self.refuse_message(kind, error).await?;
+                    continue;
+                }
             };
             if matches!(message, PgWireFrontendMessage::Terminate(_)) {
                 return Ok(());
@@ -151,6 +157,35 @@
         }
     }
 
+    /// Answers a message that cannot be decoded. The session goes on if the caller
+    /// can tell what the answer belongs to.
+    async fn refuse_message(&mut self, kind: u8, error: PgError) -> Result<(), PgError> {
+        let report = ErrorReport::new(sqlstate::PROTOCOL_VIOLATION, error.to_string());
+        match kind {
+            b'Q' if !self.skip_to_sync => {
+                self.handle_sync(false).await?;
+                if self.skip_to_sync {
+                    return Ok(());
+                }
+                self.answer_error(&report, true).await
+            }
+            b'Q' | b'P' | b'B' | b'C' | b'D' | b'E' => self.refuse_batch(&report).await,
+            _ => {
+                self.send(&[report.with_fatal().to_message()]).await?;
+                Err(error)
+            }
+        }
+    }
+
+    /// Refuses the batch, and with it all messages up to the next `Sync`.
+    async fn refuse_batch(&mut self, report: &ErrorReport) -> Result<(), PgError> {
+        if self.skip_to_sync {
+            return Ok(());
+        }
+        self.batch.clear();
+        self.answer_error(report, false).await
+    }
+
     /// Rolls back the open transaction, if there is one.
     fn end(&mut self) {
         let transaction = std::mem::replace(&mut self.transaction, SessionTransaction::Idle);
@@ -161,23 +196,23 @@
 
     async fn handle(&mut self, message: PgWireFrontendMessage) -> Result<(), PgError> {
         match message {
-            PgWireFrontendMessage::Query(query) => self.handle_query(&query.query).await,
             PgWireFrontendMessage::Sync(_) => self.handle_sync(true).await,
-            PgWireFrontendMessage::Flush(_) => self.handle_sync(false).await,
-            message if message.is_extended_query() => {
+            _ if self.skip_to_sync => Ok(()),
+            PgWireFrontendMessage::Query(query) => {
+                self.handle_sync(false).await?;
                 if self.skip_to_sync {
                     return Ok(());
                 }
-                if let Err(report) = self.batch.push(message) {
-                    self.skip_to_sync = true;
-                    self.batch.clear();
-                    return self.send(&[report.to_message()]).await;
-                }
-                Ok(())
+                self.handle_query(&query.query).await
             }
+            PgWireFrontendMessage::Flush(_) => self.handle_sync(false).await,
+            message if message.is_extended_query() => match self.batch.push(message) {
+                Ok(()) => Ok(()),
+                Err(report) => self.refuse_batch(&report).await,
+            },
             _ => {
                 let report = ErrorReport::new(sqlstate::NOT_SUPPORTED, "message is not supported");
-                self.answer_error(&report).await
+                self.answer_error(&report, true).await
             }
         }
     }
@@ -196,9 +231,15 @@
         PgWireBackendMessage::ReadyForQuery(ReadyForQuery::new(status))
     }
 
-    async fn answer_error(&mut self, report: &ErrorReport) -> Result<(), PgError> {
-        let ready = self.ready();
-        self.send(&[report.to_message(), ready]).await
+    /// Answers with an error. If the caller expects no `ReadyForQuery`, as after a
+    /// `Flush`, the messages up to the next `Sync` are ignored.
+    async fn answer_error(&mut self, report: &ErrorReport, ready: bool) -> Result<(), PgError> {
+        let mut messages = vec![report.to_message()];
+        if ready {
+            messages.push(self.ready());
+        }
+        self.skip_to_sync = !ready;
+        self.send(&messages).await
     }
 
     async fn handle_query(&mut self, text: &str) -> Result<(), PgError> {
@@ -226,16 +267,12 @@
         self.run(work, true).await
     }
 
-    /// Runs the batch. `ready` is set if the caller expects `ReadyForQuery`,
-    /// which a `Flush` does not bring.
+    /// Runs the batch. `ready` is set if the caller expects `ReadyForQuery`, which a
+    /// `Flush` does not bring, nor a `Query` behind the batch.
     async fn handle_sync(&mut self, ready: bool) -> Result<(), PgError> {
-        if self.skip_to_sync {
-            if ready {
-                self.skip_to_sync = false;
-                let message = self.ready();
-                return self.send(&[message]).await;
-            }
-            return Ok(());
+        if std::mem::take(&mut self.skip_to_sync) {
+            let message = self.ready();
+            return self.send(&[message]).await;
         }
         let result = self.run_batch(ready).await;
         self.batch.clear();
@@ -246,7 +283,7 @@
         if self.batch.is_mixed() {
             let text = "settings of fulmarrill and other statements cannot share a batch";
             return self
-                .answer_error(&ErrorReport::new(sqlstate::NOT_SUPPORTED, text))
+                .answer_error(&ErrorReport::new(sqlstate::NOT_SUPPORTED, text), ready)
                 .await;
         }
         match self.batch.target() {
@@ -256,6 +293,9 @@
             }
             BatchTarget::Nothing => Ok(()),
             BatchTarget::Local => self.answer_local_batch(ready).await,
+            BatchTarget::Remote(_) if matches!(self.transaction, SessionTransaction::Failed) => {
+                self.answer_local_batch(ready).await
+            }
             BatchTarget::Remote(class) => match self.batch.finish() {
                 Ok(batch) => {
                     let work = SessionWork {
@@ -268,7 +308,7 @@
                     };
                     self.run(work, ready).await
                 }
-                Err(report) => self.answer_error(&report).await,
+                Err(report) => self.answer_error(&report, ready).await,
             },
         }
     }
@@ -339,45 +379,17 @@
         }
     }
 
+    /// Answers a batch that no instance runs.
     async fn answer_local_batch(&mut self, ready: bool) -> Result<(), PgError> {
         let mut messages = Vec::new();
-        for message in self.batch.take_messages() {
-            match message {
-                PgWireFrontendMessage::Parse(_) => {
-                    messages.push(PgWireBackendMessage::ParseComplete(ParseComplete::new()));
-                }
-                PgWireFrontendMessage::Bind(_) => {
-                    messages.push(PgWireBackendMessage::BindComplete(BindComplete::new()));
-                }
-                PgWireFrontendMessage::Close(_) => {
-                    messages.push(PgWireBackendMessage::CloseComplete(CloseComplete::new()));
-                }
-                PgWireFrontendMessage::Describe(describe) => {
-                    let name = describe.name.unwrap_or_default();
-                    let of_statement = describe.target_type == TARGET_TYPE_BYTE_STATEMENT;
-                    if of_statement {
-                        let none = ParameterDescription::new(Vec::new());
-                        messages.push(PgWireBackendMessage::ParameterDescription(none));
-                    }
-                    let statement = if of_statement {
-                        self.batch.find_by_content_name(&name)
-                    } else {
-                        self.batch.find_portal(&name)
-                    };
-                    match statement.and_then(|statement| statement.local.as_ref()) {
-                        Some(LocalStatement::Show(name)) => messages.push(describe_text(name)),
-                        _ => messages.push(PgWireBackendMessage::NoData(NoData::new())),
-                    }
-                }
-                PgWireFrontendMessage::Execute(execute) => {
-                    let portal = execute.name.unwrap_or_default();
-                    let statement = self.batch.find_portal(&portal);
-                    let local = statement.and_then(|statement| statement.local.clone());
-                    if let Some(local) = local {
-                        messages.extend(self.run_local(&local, false));
-                    }
-                }
-                _ => {}
+        for entry in self.batch.take_messages() {
+            messages.extend(self.answer_message(entry));
+            if matches!(
+                messages.last(),
+                Some(PgWireBackendMessage::ErrorResponse(_))
+            ) {
+                self.skip_to_sync = !ready;
+                break;
             }
         }
         if ready {
@@ -386,14 +398,64 @@
         self.send(&messages).await
     }
 
+    /// The replies to one message of a batch that no instance runs.
+    fn answer_message(&mut self, entry: BatchMessage) -> Vec<PgWireBackendMessage> {
+        let local = entry.statement.as_ref().and_then(|s| s.local.clone());
+        let is_failed = matches!(self.transaction, SessionTransaction::Failed);
+        let is_refused = is_failed
+            && local.is_none()
+            && entry
+                .statement
+                .is_some_and(|statement| !ends_transaction(&statement.text));
+        if is_refused {
+            return vec![failed_transaction_report().to_message()];
+        }
+        match entry.message {
+            PgWireFrontendMessage::Parse(_) => {
+                vec![PgWireBackendMessage::ParseComplete(ParseComplete::new())]
+            }
+            PgWireFrontendMessage::Bind(_) => {
+                vec![PgWireBackendMessage::BindComplete(BindComplete::new())]
+            }
+            PgWireFrontendMessage::Close(_) => {
+                vec![PgWireBackendMessage::CloseComplete(CloseComplete::new())]
+            }
+            PgWireFrontendMessage::Describe(describe) => {
+                let mut messages = Vec::new();
+                if describe.target_type == TARGET_TYPE_BYTE_STATEMENT {
+                    let none = ParameterDescription::new(Vec::new());
+                    messages.push(PgWireBackendMessage::ParameterDescription(none));
+                }
+                messages.push(match local {
+                    Some(LocalStatement::Show(name)) => describe_text(&name),
+                    _ => PgWireBackendMessage::NoData(NoData::new()),
+                });
+                messages
+            }
+            PgWireFrontendMessage::Execute(_) => match local {
+                Some(local) => self.run_local(&local, false),
+                None if is_failed => vec![self.end_failed_transaction()],
+                None => Vec::new(),
+            },
+            _ => Vec::new(),
+        }
+    }
+
+    /// Ends the failed transaction, which the database has rolled back.
+    fn end_failed_transaction(&mut self) -> PgWireBackendMessage {
+        self.transaction = SessionTransaction::Idle;
+        let tag = CommandComplete::new("ROLLBACK".to_owned());
+        PgWireBackendMessage::CommandComplete(tag)
+    }
+
     /// Runs a request at an instance, records it and answers the caller.
     async fn run(&mut self, work: SessionWork, ready: bool) -> Result<(), PgError> {
         if matches!(self.transaction, SessionTransaction::Failed) {
-            return self.answer_in_failed_transaction(&work).await;
+            return self.answer_in_failed_transaction(&work, ready).await;
         }
         let in_transaction = matches!(self.transaction, SessionTransaction::Open(_));
         if let Some(report) = self.check_supported(&work, in_transaction) {
-            return self.answer_error(&report).await;
+            return self.answer_error(&report, ready).await;
         }
         let view = self.context.view.load();
         let policy = view
@@ -489,8 +551,11 @@
                 payload,
                 status,
                 point,
+                sqlstate,
                 ..
             } => {
+                // The error of a batch that ends with a `Flush`.
+                self.skip_to_sync = sqlstate.is_some() && !ready;
                 if !routed.by_replica || self.position.contains(&self.identity.database) {
                     self.position.advance(&self.identity.database, point);
                 }
@@ -503,11 +568,13 @@
             }
             WorkAnswer::NotRun { reason, message } => {
                 self.fail_transaction();
-                self.answer_error(&not_run_report(reason, &message)).await
+                let report = not_run_report(reason, &message);
+                self.answer_error(&report, ready).await
             }
             WorkAnswer::Unknown { message } => {
                 self.fail_transaction();
-                self.answer_error(&unknown_report(&message)).await
+                let report = unknown_report(&message);
+                self.answer_error(&report, ready).await
             }
         }
     }
@@ -540,27 +607,29 @@
         self.stream.write(&bytes).await
     }
 
-    /// Answers a request in a failed transaction: only the end of the
-    /// transaction is accepted.
-    async fn answer_in_failed_transaction(&mut self, work: &SessionWork) -> Result<(), PgError> {
-        if work.ends_transaction {
-            self.transaction = SessionTransaction::Idle;
-            let tag = CommandComplete::new("ROLLBACK".to_owned());
-            let mut messages = Vec::new();
-            if work.payload.first() != Some(&b'Q') {
-                messages.push(PgWireBackendMessage::ParseComplete(ParseComplete::new()));
-                messages.push(PgWireBackendMessage::BindComplete(BindComplete::new()));
-            }
-            messages.push(PgWireBackendMessage::CommandComplete(tag));
+    /// Answers a query in a failed transaction: only the end of the transaction is
+    /// accepted.
+    async fn answer_in_failed_transaction(
+        &mut self,
+        work: &SessionWork,
+        ready: bool,
+    ) -> Result<(), PgError> {
+        if !work.ends_transaction {
+            return self.answer_error(&failed_transaction_report(), ready).await;
+        }
+        let mut messages = vec![self.end_failed_transaction()];
+        if ready {
             messages.push(self.ready());
-            return self.send(&messages).await;
         }
-        let text = "current transaction is aborted, commands ignored until end of block";
-        self.answer_error(&ErrorReport::new(sqlstate::FAILED_TRANSACTION, text))
-            .await
+        self.send(&messages).await
     }
 }
 
+fn failed_transaction_report() -> ErrorReport {
+    let text = "current transaction is aborted, commands ignored until end of block";
+    ErrorReport::new(sqlstate::FAILED_TRANSACTION, text)
+}
+
 fn unknown_setting(name: &str) -> ErrorReport {
     let text = format!(
         "unrecognized setting \"fulmarrill.{name}\"; there are service, place, customer, \
--- a/crates/pg/src/client.rs
+++ b/crates/pg/src/client.rs
@@ -14,6 +14,7 @@
 use crate::error::PgError;
 use crate::report::ErrorReport;
 use crate::stream::{MessageStream, encode_frontend};
+use crate::{STATUS_FAILED, STATUS_IDLE, STATUS_TRANSACTION};
 
 /// Message type of `ReadyForQuery`.
 const READY_FOR_QUERY: u8 = b'Z';
@@ -23,6 +24,11 @@
 const BACKEND_KEY_DATA: u8 = b'K';
 /// Message type of `DataRow`.
 const DATA_ROW: u8 = b'D';
+/// Message type of `NotificationResponse`.
+const NOTIFICATION_RESPONSE: u8 = b'A';
+/// Types of the messages that a server may send at any time: `NoticeResponse`,
+/// `ParameterStatus` and `NotificationResponse`.
+const ASYNCHRONOUS_TYPES: [u8; 3] = [b'N', b'S', NOTIFICATION_RESPONSE];
 /// Size of a message header: type and length.
 const HEADER_BYTES: usize = 5;
 
@@ -95,6 +101,14 @@
         messages
     }
 
+    /// Decodes the first row of the response, whose columns must be in text format.
+    #[must_use]
+    pub fn first_row(&self) -> Option<TextRow> {
+        let mut messages = self.split().into_iter();
+        let row = messages.find(|message| message[0] == DATA_ROW)?;
+        Some(TextRow::parse(&row[HEADER_BYTES..]))
+    }
+
     /// Decodes the rows of the response, whose columns must be in text format.
     #[must_use]
     pub fn rows(&self) -> Vec<TextRow> {
@@ -148,11 +162,13 @@
 ///
 /// Responses arrive in the order of the requests. A connection with an
 /// outstanding response must not be reused for another caller: see
-/// [`DatabaseConnection::is_drained`].
+/// [`DatabaseConnection::is_reusable`].
 #[derive(Debug)]
 pub struct DatabaseConnection {
     stream: MessageStream,
     pending_responses: usize,
+    /// Transaction status byte of the last response.
+    status: u8,
     process_id: i32,
 }
 
@@ -173,6 +189,7 @@
         let mut connection = Self {
             stream,
             pending_responses: 0,
+            status: STATUS_IDLE,
             process_id: 0,
         };
         let mut startup = Startup::new();
@@ -205,12 +222,37 @@
     ///
     /// # Errors
     ///
-    /// [`PgError::Io`] if the socket fails.
+    /// [`PgError::Io`] if the socket fails. If no response is outstanding and the
+    /// server has ended the connection or sent a response all the same, that is the
+    /// error, and nothing is sent.
     pub async fn send(&mut self, bytes: &[u8], responses: usize) -> Result<(), PgError> {
+        if self.pending_responses == 0 {
+            self.discard_idle_input().await?;
+        }
         self.pending_responses += responses;
         self.stream.write(bytes).await
     }
 
+    /// Discards the asynchronous messages that arrived since the last response.
+    /// Anything else would be taken for the response to the next request.
+    async fn discard_idle_input(&mut self) -> Result<(), PgError> {
+        let filled = self.stream.fill_available().await;
+        while let Some(message) = self.stream.take_message()? {
+            match message[0] {
+                kind if ASYNCHRONOUS_TYPES.contains(&kind) => {}
+                ERROR_RESPONSE => {
+                    let report = ErrorReport::from_message(&message);
+                    return Err(Self::closed_with(Some(report)));
+                }
+                _ => return Err(PgError::Unsolicited),
+            }
+        }
+        match self.stream.unread_input().first() {
+            Some(kind) if !ASYNCHRONOUS_TYPES.contains(kind) => Err(PgError::Unsolicited),
+            _ => filled,
+        }
+    }
+
     /// Reads the response to the oldest outstanding request.
     ///
     /// # Errors
@@ -226,11 +268,20 @@
                 Err(PgError::Closed) => return Err(Self::closed_with(error)),
                 Err(other) => return Err(other),
             };
+            if message[0] == NOTIFICATION_RESPONSE {
+                // Sent for a session that listens, not for the request.
+                continue;
+            }
             messages.extend_from_slice(&message);
             match message[0] {
                 READY_FOR_QUERY => {
+                    let [status @ (STATUS_IDLE | STATUS_TRANSACTION | STATUS_FAILED)] =
+                        message[HEADER_BYTES..]
+                    else {
+                        return Err(PgError::InvalidFormat);
+                    };
                     self.pending_responses = self.pending_responses.saturating_sub(1);
-                    let status = message.get(HEADER_BYTES).copied().unwrap_or(b'I');
+                    self.status = status;
                     return Ok(BackendResponse {
                         messages,
                         status,
@@ -308,10 +359,19 @@
         self.process_id
     }
 
-    /// Whether every response was read and no received bytes are left over, so that
-    /// the connection can be reused for another caller.
+    /// Whether every response was read, no received bytes are left over and no
+    /// transaction is open, so that the connection can be kept for another caller.
     #[must_use]
     pub fn is_drained(&self) -> bool {
-        self.pending_responses == 0 && !self.stream.has_unread_input()
+        let is_answered = self.pending_responses == 0 && self.stream.unread_input().is_empty();
+        is_answered && self.status == STATUS_IDLE
+    }
+
+    /// Whether the connection can be handed to another caller: it is still open
+    /// without a transaction, and the server has sent no response that nobody asked
+    /// for.
+    pub async fn is_reusable(&mut self) -> bool {
+        let is_free = self.pending_responses == 0 && self.status == STATUS_IDLE;
+        is_free && self.discard_idle_input().await.is_ok()
     }
 }
--- a/crates/standin/src/database/backend.rs
+++ b/crates/standin/src/database/backend.rs
@@ -99,6 +99,11 @@
     portals: HashMap<String, BoundPortal>,
     output: Vec<PgWireBackendMessage>,
     skip_to_sync: bool,
+    settings: HashMap<String, String>,
+    /// Number of answers sent.
+    answers: u64,
+    /// Answer to be sent once more before the next.
+    repeated: BytesMut,
 }
 
 impl BackendSession {
@@ -119,6 +124,9 @@
             portals: HashMap::new(),
             output: Vec::new(),
             skip_to_sync: false,
+            settings: HashMap::new(),
+            answers: 0,
+            repeated: BytesMut::new(),
         })
     }
 
@@ -155,15 +163,36 @@
             if matches!(message, PgWireFrontendMessage::Terminate(_)) {
                 return Ok(());
             }
+            let pulls = matches!(&message, PgWireFrontendMessage::Query(query)
+                if query.query.starts_with(PULL_PREFIX));
             let flush = self.handle(message).await;
             if flush {
                 let bytes = encode_backend(&self.output)?;
                 self.output.clear();
+                // Replicas pull the log without the proxy.
+                let bytes = if pulls { bytes } else { self.repeat(bytes) };
                 self.stream.write(&bytes).await?;
             }
         }
     }
 
+    /// Adds the answer that the faults let the session send a second time.
+    fn repeat(&mut self, answer: BytesMut) -> BytesMut {
+        self.answers += 1;
+        let mut bytes = std::mem::take(&mut self.repeated);
+        bytes.extend_from_slice(&answer);
+        let interval = self.state.faults().repeat_interval;
+        if interval == 0 || !self.answers.is_multiple_of(interval) {
+            return bytes;
+        }
+        if (self.answers / interval).is_multiple_of(2) {
+            bytes.extend_from_slice(&answer);
+        } else {
+            self.repeated = answer;
+        }
+        bytes
+    }
+
     /// Handles one message; returns whether the queued answers must be sent.
     async fn handle(&mut self, message: PgWireFrontendMessage) -> bool {
         match message {
@@ -519,7 +548,19 @@
                 self.roll_back();
                 Ok(EngineRows::default())
             }
-            StatementKind::Setting => Ok(EngineRows::default()),
+            StatementKind::Setting => {
+                let text = statement.sql.trim_start_matches("SET ");
+                if let Some((name, value)) = text.split_once(" = ") {
+                    self.settings.insert(name.to_owned(), value.to_owned());
+                }
+                Ok(EngineRows::default())
+            }
+            StatementKind::Show => {
+                let name = statement.sql.trim_start_matches("SHOW ");
+                let value = self.settings.get(name).map_or("", |value| value);
+                let sql = format!("SELECT '{}'", value.replace('\'', "''"));
+                run_statement(&self.connection, &sql, &[]).map_err(|error| engine_report(&error))
+            }
             StatementKind::Read => self.run_read(statement, parameters).await,
             StatementKind::Write => self.run_write(statement, parameters).await,
         }
