Soak: compare statements and answers with those of instances; odd texts, answers given twice

- A plan has answers given twice, refusals as busy (given twice) and answers in pieces, drawn apart, so that the other faults of a seed stay as they were.
- Checks by id: MIXED, UNASKED, PINNED (values, shape, transaction), MALFORMED for a valid statement, messages to idle sessions; reads refused as not run that ran are counted.

--- a/src/commands/soak.rs
+++ b/src/commands/soak.rs
@@ -1,5 +1,6 @@
 //! `soak`: seeded fault injection around hosts that run as processes.
 
+use std::collections::BTreeMap;
 use std::path::Path;
 
 use fulmarrill_soak::{SoakOptions, SoakReport, render_page, run_soak};
@@ -7,8 +8,10 @@
 use crate::error::CommandError;
 use crate::logging;
 
-/// Maximum number of violations printed for each seed.
+/// Maximum number of violations printed for each seed and check.
 const VIOLATIONS_SHOWN: usize = 20;
+/// Names of the checks of single statements.
+const CHECK_NAMES: [&str; 4] = ["MIXED", "UNASKED", "PINNED", "MALFORMED"];
 /// Upper bound of random seeds, which keeps them short enough to note down.
 const SEED_LIMIT: u64 = 1_000_000_000;
 
@@ -56,11 +59,39 @@
         report.promotions,
         report.violations.len(),
     );
+    let findings = &report.findings;
+    println!(
+        "  {} successes and {} received statements compared: {} MIXED, {} UNASKED, {} PINNED, {} \
+         MALFORMED, {} messages to idle sessions; {} reads refused as not run that ran; {} answers \
+         given twice, {} statements refused as busy by faults",
+        findings.compared,
+        findings.received,
+        findings.mixed.len(),
+        findings.unasked.len(),
+        findings.pinned.len(),
+        findings.malformed.len(),
+        report.unsolicited,
+        findings.refused_reads,
+        report.repeated_answers,
+        report.busy_refusals,
+    );
     if report.violations.is_empty() {
         return;
     }
-    for violation in report.violations.iter().take(VIOLATIONS_SHOWN) {
-        println!("  VIOLATION: {violation}");
+    let mut shown: BTreeMap<&str, usize> = BTreeMap::new();
+    for violation in &report.violations {
+        // Checks of statements put their name first.
+        let name = violation.split_once(": ").map_or("", |(name, _)| name);
+        let name = if CHECK_NAMES.contains(&name) {
+            name
+        } else {
+            ""
+        };
+        let count = shown.entry(name).or_default();
+        *count += 1;
+        if *count <= VIOLATIONS_SHOWN {
+            println!("  VIOLATION: {violation}");
+        }
     }
     for fault in &report.plan {
         println!(
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -14,6 +14,7 @@
 #[rstest]
 #[case::few_disturbances(11)]
 #[case::change_of_primary(12)]
+#[case::answers_given_twice(4101)]
 fn answers_to_callers_hold_under_faults(#[case] seed: u64) {
     let program = Path::new(env!("CARGO_BIN_EXE_fulmarrill"));
     let options = SoakOptions::new(program, seed)
@@ -27,4 +28,5 @@
         report.plan
     );
     assert!(report.acknowledged > 0);
+    assert!(report.findings.compared > 0 && report.findings.received > 0);
 }
