--- a/crates/proxy/src/owner/connection.rs
+++ b/crates/proxy/src/owner/connection.rs
@@ -2,12 +2,14 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::BytesMut;
 use compact_str::CompactString;
 use fulmarrill_position::LogPoint;
 use fulmarrill_runtime::timeout_at;
+use futures_lite::future::poll_once;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 use thiserror::Error;
@@ -16,15 +18,18 @@
 use crate::codec::{
     CodecError, DatabaseCodec, DatabaseCommand, DatabaseMessage, DatabaseStatus, ErrorKind,
 };
+use crate::owner::pairing::{AnswerHistory, ExchangeStep, PendingExchange, ProofVariety};
 use crate::statement::TransactionState;
 
 /// Size of one read from the socket.
 const READ_BYTES: usize = 16 << 10;
+/// Size of one read of what has arrived before a command is sent; usually nothing.
+const ARRIVED_BYTES: usize = 512;
 
 /// Why a connection cannot be used.
 #[derive(Debug, Error)]
 pub enum ConnectionError {
-    /// It cannot be set up; no statement was sent.
+    /// It cannot be set up, or was closed while idle; no statement was sent.
     #[error("cannot connect: {0}")]
     Connect(CompactString),
     /// The instance refused it; nothing was run.
@@ -39,6 +44,12 @@
     /// The instance sent bytes that are no message of the protocol.
     #[error(transparent)]
     Codec(#[from] CodecError),
+    /// A command is longer than an instance takes; nothing was sent.
+    #[error("the message to the instance is too long")]
+    TooLong,
+    /// The messages of an answer are not in an order that the protocol allows.
+    #[error("malformed answer: {0}")]
+    Malformed(&'static str),
 }
 
 impl ConnectionError {
@@ -62,8 +73,9 @@
 pub struct DatabaseAnswer {
     /// Rows as the instance sent them.
     pub rows: Vec<CompactString>,
-    /// The instance's proof of execution, or the kind and text of the failure.
-    pub outcome: Result<CompactString, (ErrorKind, CompactString)>,
+    /// The instance's proof of execution, if it gave one, or the kind and text of the
+    /// failure.
+    pub outcome: Result<Option<CompactString>, (ErrorKind, CompactString)>,
     /// State of the connection's transaction afterwards.
     pub state: TransactionState,
     /// Position of the instance's log, if it reported one.
@@ -91,6 +103,53 @@
     }
 }
 
+/// The messages of an answer that have arrived so far.
+#[derive(Debug, Default)]
+struct PartialAnswer {
+    rows: Vec<CompactString>,
+    outcome: Option<Result<Option<CompactString>, (ErrorKind, CompactString)>>,
+}
+
+impl PartialAnswer {
+    fn is_empty(&self) -> bool {
+        self.rows.is_empty() && self.outcome.is_none()
+    }
+
+    fn set_outcome(
+        &mut self,
+        outcome: Result<Option<CompactString>, (ErrorKind, CompactString)>,
+    ) -> Result<(), ConnectionError> {
+        match self.outcome.replace(outcome) {
+            None => Ok(()),
+            Some(_) => Err(ConnectionError::Malformed("it has two outcomes")),
+        }
+    }
+
+    /// Adds a message and returns the answer if that ends it.
+    fn add(&mut self, message: DatabaseMessage) -> Result<Option<DatabaseAnswer>, ConnectionError> {
+        match message {
+            DatabaseMessage::Row(_) if self.outcome.is_some() => {
+                return Err(ConnectionError::Malformed("a row follows its outcome"));
+            }
+            DatabaseMessage::Row(row) => self.rows.push(row),
+            DatabaseMessage::Done(proof) => self.set_outcome(Ok(proof))?,
+            DatabaseMessage::Error(kind, text) => self.set_outcome(Err((kind, text)))?,
+            DatabaseMessage::Ready(state, point) => {
+                let Some(outcome) = self.outcome.take() else {
+                    return Err(ConnectionError::Malformed("it has no outcome"));
+                };
+                return Ok(Some(DatabaseAnswer {
+                    rows: std::mem::take(&mut self.rows),
+                    outcome,
+                    state,
+                    point,
+                }));
+            }
+        }
+        Ok(None)
+    }
+}
+
 /// A connection to an instance on which no answer is outstanding.
 #[derive(Debug)]
 pub struct DatabaseConnection {
@@ -98,13 +157,16 @@
     stream: TcpStream,
     input: BytesMut,
     output: Vec<u8>,
+    partial: PartialAnswer,
+    history: Box<AnswerHistory>,
     /// Position that the instance reported last.
     pub point: Option<LogPoint>,
 }
 
 impl DatabaseConnection {
     /// Connects to an instance. The startup message names its database and id, so
-    /// that another instance at the address can refuse.
+    /// that another instance at the address can refuse. All connections to an instance
+    /// share `variety`.
     ///
     /// # Errors
     ///
@@ -112,6 +174,7 @@
     pub async fn connect(
         codec: DatabaseCodec,
         instance: &InstanceEntry,
+        variety: Arc<ProofVariety>,
         deadline: Instant,
     ) -> Result<Self, ConnectionError> {
         let setup = async {
@@ -128,6 +191,8 @@
                 stream,
                 input: BytesMut::new(),
                 output: Vec::new(),
+                partial: PartialAnswer::default(),
+                history: Box::new(AnswerHistory::new(variety)),
                 point: None,
             };
             (codec.encode_startup)(&instance.database, &instance.id, &mut connection.output);
@@ -167,41 +232,102 @@
             if let Some(message) = (self.codec.decode)(&mut self.input)? {
                 return Ok(message);
             }
-            let start = self.input.len();
-            self.input.resize(start + READ_BYTES, 0);
-            let read = self.stream.read(&mut self.input[start..]).await;
-            self.input
-                .truncate(start + read.as_ref().map_or(0, |count| *count));
-            match read {
-                Ok(0) => return Err(ConnectionError::Lost("closed by the instance".into())),
-                Ok(_) => {}
-                Err(error) => return Err(ConnectionError::lost(&error)),
+            if self.receive().await? == 0 {
+                return Err(ConnectionError::Lost("closed by the instance".into()));
             }
         }
     }
 
+    /// Reads what has arrived into the input; returns the number of bytes.
+    async fn receive(&mut self) -> Result<usize, ConnectionError> {
+        let start = self.input.len();
+        self.input.resize(start + READ_BYTES, 0);
+        let read = self.stream.read(&mut self.input[start..]).await;
+        self.input
+            .truncate(start + read.as_ref().map_or(0, |count| *count));
+        read.map_err(|error| ConnectionError::lost(&error))
+    }
+
     async fn read_answer(&mut self) -> Result<DatabaseAnswer, ConnectionError> {
-        let mut rows = Vec::new();
-        let mut outcome = None;
         loop {
-            match self.read_message().await? {
-                DatabaseMessage::Row(row) => rows.push(row),
-                DatabaseMessage::Done(proof) => outcome = Some(Ok(proof)),
-                DatabaseMessage::Error(kind, text) => outcome = Some(Err((kind, text))),
-                DatabaseMessage::Ready(state, point) => {
-                    let Some(outcome) = outcome else {
-                        return Err(ConnectionError::Lost("answer without an outcome".into()));
-                    };
-                    self.point = point.or(self.point);
-                    return Ok(DatabaseAnswer {
-                        rows,
-                        outcome,
-                        state,
-                        point,
-                    });
+            let message = self.read_message().await?;
+            if let Some(answer) = self.add_message(message)? {
+                return Ok(answer);
+            }
+        }
+    }
+
+    /// Adds a message to the partial answer and returns the answer if that ends it.
+    fn add_message(
+        &mut self,
+        message: DatabaseMessage,
+    ) -> Result<Option<DatabaseAnswer>, ConnectionError> {
+        if matches!(message, DatabaseMessage::Ready(..)) && self.partial.is_empty() {
+            // A repeated greeting.
+            self.history.count_repeat();
+            return Ok(None);
+        }
+        self.partial.add(message)
+    }
+
+    /// Reads what has arrived, without waiting; returns the number of bytes, or `None`
+    /// if nothing has arrived.
+    async fn receive_arrived(&mut self) -> Option<Result<usize, ConnectionError>> {
+        let mut bytes = [0; ARRIVED_BYTES];
+        let read = poll_once(self.stream.read(&mut bytes)).await?;
+        if let Ok(count) = read {
+            self.input.extend_from_slice(&bytes[..count]);
+        }
+        Some(read.map_err(|error| ConnectionError::lost(&error)))
+    }
+
+    /// Whether the connection is open and nothing has arrived since the last answer.
+    /// Bytes that have arrived count as a repeated answer.
+    pub async fn is_quiet(&mut self) -> bool {
+        let is_open = match self.receive_arrived().await {
+            None => true,
+            Some(received) => matches!(received, Ok(count) if count > 0),
+        };
+        let has_input = !self.input.is_empty() || !self.partial.is_empty();
+        if has_input {
+            self.history.count_repeat();
+        }
+        is_open && !has_input
+    }
+
+    /// Returns how many answers were recognized as repeats of earlier ones.
+    #[must_use]
+    pub fn repeated_answers(&self) -> u64 {
+        self.history.repeated()
+    }
+
+    /// Whether a repeat of an answer on this connection could be taken for the answer
+    /// to a later statement.
+    #[must_use]
+    pub fn has_ambiguous_answer(&self, now: Instant) -> bool {
+        self.history.has_ambiguous_answer(now)
+    }
+
+    /// Discards what arrived since the last answer: it was sent before the next
+    /// command, so it does not answer that. Returns whether the rest of an answer to
+    /// discard has still to arrive.
+    async fn discard_repeats(&mut self) -> Result<bool, ConnectionError> {
+        loop {
+            while let Some(message) = (self.codec.decode)(&mut self.input)? {
+                if self.add_message(message)?.is_some() {
+                    self.history.count_repeat();
                 }
             }
+            match self.receive_arrived().await {
+                None => break,
+                // No command was sent yet that the instance could have run.
+                Some(Ok(0) | Err(_)) => {
+                    return Err(ConnectionError::Connect("closed by the instance".into()));
+                }
+                Some(Ok(_)) => {}
+            }
         }
+        Ok(!self.input.is_empty() || !self.partial.is_empty())
     }
 
     /// Sends commands in one write and reads all of their answers. After an
@@ -216,20 +342,43 @@
         commands: &[DatabaseCommand],
         deadline: Instant,
     ) -> Result<Vec<DatabaseAnswer>, ConnectionError> {
+        // Boxed, so that the futures of all owners and sessions stay small.
+        match timeout_at(deadline, Box::pin(self.run_exchange(commands))).await {
+            Ok(result) => result,
+            Err(_) => Err(ConnectionError::Lost("no answer in time".into())),
+        }
+    }
+
+    async fn run_exchange(
+        &mut self,
+        commands: &[DatabaseCommand],
+    ) -> Result<Vec<DatabaseAnswer>, ConnectionError> {
+        let is_mid_repeat = self.discard_repeats().await?;
         for command in commands {
+            let start = self.output.len();
             (self.codec.encode)(command, &mut self.output);
+            if self.output.len() - start > self.codec.message_bytes_max {
+                self.output.clear();
+                return Err(ConnectionError::TooLong);
+            }
         }
-        let exchange = async {
-            self.flush().await?;
-            let mut answers = Vec::with_capacity(commands.len());
-            for _ in commands {
-                answers.push(self.read_answer().await?);
+        self.flush().await?;
+        if is_mid_repeat {
+            self.read_answer().await?;
+            self.history.count_repeat();
+        }
+        let mut pending = PendingExchange::new(commands);
+        loop {
+            let answer = self.read_answer().await?;
+            self.point = answer.point.or(self.point);
+            match pending.offer(&mut self.history, answer, Instant::now()) {
+                ExchangeStep::Wait => {}
+                ExchangeStep::Done => return Ok(pending.into_answers()),
+                ExchangeStep::Send(marker) => {
+                    (self.codec.encode)(&marker, &mut self.output);
+                    self.flush().await?;
+                }
             }
-            Ok(answers)
-        };
-        match timeout_at(deadline, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(ConnectionError::Lost("no answer in time".into())),
         }
     }
 }
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -113,6 +113,22 @@
         }
     }
 
+    /// The report on a statement that is too long for the instance with what the proxy
+    /// adds to it. Nothing was sent.
+    fn too_long(request: &WorkRequest) -> Self {
+        if request.after.is_some() && request.step == WorkStep::Single {
+            // At the primary the statement is sent without a position.
+            return Self::not_run(NotRunReason::Behind);
+        }
+        let kind = ErrorKind::Malformed;
+        let text = "the statement is too long".into();
+        Self {
+            answer: WorkAnswer::Failed { kind, text },
+            covers_until: None,
+            lost_lead: false,
+        }
+    }
+
     fn unknown() -> Self {
         Self {
             answer: WorkAnswer::Unknown,
@@ -149,6 +165,17 @@
         &self.refusals
     }
 
+    /// Returns how many answers the instance gave twice since the last call, and adds
+    /// them to the tally.
+    #[must_use]
+    pub fn take_repeated_answers(&self) -> u64 {
+        let repeated = self.pool.take_repeated_answers();
+        if repeated > 0 {
+            self.refusals.record_repeated(repeated);
+        }
+        repeated
+    }
+
     /// Returns the monitor of the instance's answers.
     #[must_use]
     pub fn monitor(&self) -> &InstanceMonitor {
@@ -574,6 +601,14 @@
                 lost_lead: kind == ErrorKind::ReadOnly,
             };
         }
+        let commits = matches!(request.statement, WorkStatement::Commit(_));
+        if request.step != WorkStep::Single && !commits && last.state == TransactionState::Idle {
+            log::error!(
+                "{}: a statement ran outside of its transaction",
+                self.instance.id
+            );
+            return OwnerReport::unknown();
+        }
         let mut mode = pin.map(|pin| pin.mode).unwrap_or_default();
         mode.reads_only |= request.step == WorkStep::Begin { reads_only: true };
         // An instance that stepped down still commits a transaction that wrote
@@ -588,7 +623,7 @@
         };
         let answer = WorkAnswer::Served {
             rows: last.rows,
-            proof: last.outcome.unwrap_or_default(),
+            proof: last.outcome.ok().flatten().unwrap_or_default(),
             point: last.point,
             pin,
         };
@@ -655,13 +690,22 @@
 
     fn exchange_failed(&self, error: &ConnectionError, request: &WorkRequest) -> OwnerReport {
         log::debug!("{}: {error}", self.instance.id);
-        self.pool.close_idle();
+        if matches!(error, ConnectionError::TooLong) {
+            return OwnerReport::too_long(request);
+        }
+        let is_unsent = matches!(error, ConnectionError::Connect(_));
+        if matches!(error, ConnectionError::Lost(_)) {
+            self.pool.close_idle();
+        }
         // A transaction whose commit was not sent can no longer be committed.
         let in_transaction = request.step != WorkStep::Single;
         let commits = matches!(request.statement, WorkStatement::Commit(_));
-        if in_transaction && !commits {
+        if in_transaction && (is_unsent || !commits) {
             return OwnerReport::not_run(NotRunReason::TransactionLost);
         }
+        if is_unsent {
+            return OwnerReport::not_run(NotRunReason::Unreachable);
+        }
         OwnerReport::unknown()
     }
 
