--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -132,10 +132,12 @@
         let mut sender = self.take_or_connect().await?;
         let failed = |error| HttpError::Connection(self.address.clone(), error);
         let response = sender.send_request(request).await.map_err(failed)?;
-        let status = response.status().as_u16();
-        let body = response.into_body().collect().await.map_err(failed)?;
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await.map_err(failed)?;
         self.put_back(sender);
-        Ok(HttpResponse::json(status, body.to_bytes().to_vec()))
+        let mut response = HttpResponse::json(parts.status.as_u16(), body.to_bytes().to_vec());
+        response.headers = parts.headers;
+        Ok(response)
     }
 
     async fn take_or_connect(&self) -> Result<SendRequest<Full<Bytes>>, HttpError> {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -24,6 +24,7 @@
 mod server;
 
 pub use hyper::Method;
+pub use hyper::header::{HeaderMap, HeaderValue};
 
 pub use crate::client::{HttpClient, HttpError};
 pub use crate::server::{HttpRequest, HttpResponse, serve_http};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -9,7 +9,7 @@
 use compact_str::CompactString;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -61,6 +61,8 @@
     /// Value of `Content-Type`. In a response that the client received it is always
     /// `application/json`, as the client does not read the header.
     pub content_type: &'static str,
+    /// Further headers; in a response that the client received, all of them.
+    pub headers: HeaderMap,
     /// Bytes of the body.
     pub body: Vec<u8>,
 }
@@ -72,6 +74,7 @@
         Self {
             status,
             content_type: "text/plain; charset=utf-8",
+            headers: HeaderMap::new(),
             body: body.into(),
         }
     }
@@ -82,6 +85,7 @@
         Self {
             status,
             content_type: "application/json",
+            headers: HeaderMap::new(),
             body: body.into(),
         }
     }
@@ -92,6 +96,7 @@
         Self {
             status,
             content_type: "text/html; charset=utf-8",
+            headers: HeaderMap::new(),
             body: body.into(),
         }
     }
@@ -164,6 +169,7 @@
     let mut hyper_response = Response::new(Full::new(Bytes::from(response.body)));
     *hyper_response.status_mut() =
         StatusCode::from_u16(response.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *hyper_response.headers_mut() = response.headers;
     let content_type = HeaderValue::from_static(response.content_type);
     hyper_response
         .headers_mut()
