--- a/crates/proxy/src/catalogue.rs
+++ b/crates/proxy/src/catalogue.rs
@@ -7,6 +7,7 @@
 use compact_str::CompactString;
 use fulmarrill_position::{DatabaseName, Term};
 use fulmarrill_schedule::RankIndex;
+use fulmarrill_spread::StoreRevision;
 use serde::{Deserialize, Serialize};
 
 use crate::codec::DatabaseRole;
@@ -20,8 +21,8 @@
 pub type HostName = CompactString;
 /// Name of one run of a host's process.
 pub type RunName = CompactString;
-/// Version of an object in the store.
-pub type ObjectVersion = u64;
+/// Version of an object in the store: the store's revision at its last change.
+pub type ObjectVersion = StoreRevision;
 
 /// How fresh the data of an endpoint's reads must be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -15,6 +15,7 @@
 use crate::owner::OwnerTable;
 use crate::peers::pool::PeerPool;
 use crate::records::RecordKeeper;
+use crate::relay::era::KnownEra;
 use crate::relay::monitor::StoreMonitor;
 use crate::relay::spreading::SharedSpread;
 use crate::relay::staleness::list_ages;
@@ -61,6 +62,8 @@
     pub records: RecordKeeper,
     /// Whether the store answers this host, and whether it should watch it.
     pub store: StoreMonitor,
+    /// Latest era of the store that this host knows.
+    pub era: Arc<KnownEra>,
     /// Which hosts the store answers, and whom to poll.
     pub spreading: SharedSpread,
     /// How far this host has got in leaving.
@@ -88,6 +91,7 @@
             statements: StatementLog::new(),
             records: RecordKeeper::new(&place.run),
             store: StoreMonitor::default(),
+            era: Arc::default(),
             spreading: SharedSpread::new(&place),
             leave_progress: LeaveProgress::default(),
             view,
@@ -139,6 +143,7 @@
             "run": self.place.run,
             "configuration": view.endpoints.as_ref().map(|table| table.version),
             "is_ready": self.is_ready(),
+            "store_era": view.versions.era,
             "watches_store": self.store.is_watching(),
             "store_overdue": self.spreading.sources(Instant::now()).is_empty(),
             "age_ms": ages,
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use fulmarrill_position::{DatabaseName, Term};
-use fulmarrill_spread::{KnownVersions, ListVersion, UNREAD_DIGEST};
+use fulmarrill_spread::{KnownVersions, ListVersion, StoreRevision, UNREAD_DIGEST};
 
 use crate::catalogue::{
     EndpointTable, HostEntry, HostName, InstanceEntry, InstanceId, ObjectVersion, RunName,
@@ -60,7 +60,7 @@
     /// The whole list of instances was read.
     Instances {
         /// Revision of the store at which the list was current.
-        revision: u64,
+        revision: StoreRevision,
         /// When the list was requested.
         as_of: Option<BootTime>,
         /// The instances.
@@ -69,7 +69,7 @@
     /// The whole list of hosts was read.
     Hosts {
         /// Revision of the store at which the list was current.
-        revision: u64,
+        revision: StoreRevision,
         /// The hosts.
         list: Vec<HostEntry>,
     },
@@ -86,7 +86,7 @@
         /// When the list was requested.
         as_of: BootTime,
         /// Revision of the store at which the list was current.
-        revision: u64,
+        revision: StoreRevision,
         /// Records with their versions.
         records: Vec<(TermRecord, ObjectVersion)>,
     },
@@ -165,11 +165,6 @@
     leaving: bool,
 }
 
-/// Whether a list of an earlier revision arrives after the `held` one.
-const fn is_outdated(held: ListVersion, revision: u64) -> bool {
-    held.digest != UNREAD_DIGEST && revision < held.revision
-}
-
 impl ControlState {
     /// The state of a host that has read nothing yet and knows only itself.
     #[must_use]
@@ -244,6 +239,7 @@
                 as_of,
                 list,
             } => {
+                self.learn_era(revision.era);
                 if self.apply_instances(now, revision, list) {
                     self.confirmed.instances = self.confirmed.instances.max(as_of);
                 }
@@ -253,11 +249,17 @@
                     self.confirmed.configuration = self.confirmed.configuration.max(Some(as_of));
                 }
             }
-            ControlEvent::Hosts { revision, list } => self.apply_hosts(now, revision, list),
+            ControlEvent::Hosts { revision, list } => {
+                self.learn_era(revision.era);
+                self.apply_hosts(now, revision, list);
+            }
             ControlEvent::Confirmed {
                 versions,
                 confirmed,
-            } => self.confirm(versions, confirmed),
+            } => {
+                self.learn_era(versions.era);
+                self.confirm(versions, confirmed);
+            }
             ControlEvent::InstancesDown(down) => self.down_instances = down,
             ControlEvent::ChangeHandedOver { database, term } => {
                 self.handed_over.insert(database, term);
@@ -272,6 +274,7 @@
                 revision,
                 records,
             } => {
+                self.learn_era(revision.era);
                 self.terms_read = true;
                 self.apply_terms(as_of, records);
                 self.note_missing_primaries(now);
@@ -284,6 +287,7 @@
                 record,
                 version,
             } => {
+                self.learn_era(version.era);
                 self.apply_terms(as_of, vec![(record, version)]);
                 self.note_missing_primaries(now);
             }
@@ -293,6 +297,27 @@
         }
     }
 
+    /// Takes note of an era of the store.
+    fn learn_era(&mut self, era: u64) {
+        if era <= self.versions.era {
+            return;
+        }
+        if self.versions.era > 0 {
+            log::warn!(
+                "the store came back from an older copy, era {era} after {}",
+                self.versions.era
+            );
+        }
+        self.versions.era = era;
+    }
+
+    /// Whether a list of this revision arrives late: it is of an earlier era than the
+    /// known one, or was read before the `held` list.
+    fn is_outdated(&self, held: ListVersion, revision: StoreRevision) -> bool {
+        revision.era < self.versions.era
+            || (held.digest != UNREAD_DIGEST && revision < held.revision)
+    }
+
     /// Records until when the store is known to have held these versions. Leases are
     /// extended if the terms are the same.
     fn confirm(&mut self, versions: KnownVersions, confirmed: ConfirmedTimes) {
@@ -318,10 +343,10 @@
     fn apply_instances(
         &mut self,
         now: Instant,
-        revision: u64,
+        revision: StoreRevision,
         mut list: Vec<InstanceEntry>,
     ) -> bool {
-        if is_outdated(self.versions.instances, revision) {
+        if self.is_outdated(self.versions.instances, revision) {
             return false;
         }
         // All hosts use the same order, since they compare digests of lists.
@@ -375,8 +400,8 @@
 
     /// Applies a list of hosts. This host counts as taking new work until it is told
     /// to leave, however it is listed.
-    fn apply_hosts(&mut self, now: Instant, revision: u64, mut list: Vec<HostEntry>) {
-        if is_outdated(self.versions.hosts, revision) {
+    fn apply_hosts(&mut self, now: Instant, revision: StoreRevision, mut list: Vec<HostEntry>) {
+        if self.is_outdated(self.versions.hosts, revision) {
             return;
         }
         self.hosts_read = true;
--- a/crates/proxy/src/control/plan.rs
+++ b/crates/proxy/src/control/plan.rs
@@ -33,7 +33,7 @@
     WriteTerm {
         /// The record.
         record: TermRecord,
-        /// Expected version, zero if there must be no record.
+        /// Expected version, with revision zero if there must be no record.
         if_version: ObjectVersion,
     },
     /// Asks an instance which term it leads.
@@ -277,7 +277,7 @@
                 holders: self.preferred_holders(view, instance),
                 changed_by: None,
             };
-            let if_version = 0;
+            let if_version = ObjectVersion::default();
             actions.push(ControlAction::WriteTerm { record, if_version });
         }
     }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -11,6 +11,7 @@
 //! revision. Leases may be relayed, since they count from the request to the
 //! store, whichever host sent it.
 
+pub mod era;
 pub mod monitor;
 pub mod notice;
 pub mod spreading;
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -118,6 +118,7 @@
 
 fn publish_view(context: &SharedContext, state: &ControlState) {
     let view = state.view();
+    context.era.raise(view.versions.era);
     if view.versions.hosts.digest != context.view.load().versions.hosts.digest {
         context.spreading.set_hosts(view.listed_hosts.iter());
     }
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -13,6 +13,7 @@
 use fulmarrill_proxy::codec::DatabaseRole;
 use fulmarrill_proxy::control::plan::{ChangeReason, ControlAction};
 use fulmarrill_proxy::control::{ControlEvent, ControlState, LEASE_TIME};
+use fulmarrill_spread::StoreRevision;
 use rstest::rstest;
 
 const OWN_RUN: &str = "h1~1";
@@ -20,8 +21,8 @@
 /// Revision of the next list in a test; each list is newer than the one before it.
 static NEXT_REVISION: AtomicU64 = AtomicU64::new(1000);
 
-fn next_revision() -> u64 {
-    NEXT_REVISION.fetch_add(1, Ordering::Relaxed)
+fn next_revision() -> StoreRevision {
+    NEXT_REVISION.fetch_add(1, Ordering::Relaxed).into()
 }
 
 fn hosts_event(list: Vec<HostEntry>) -> ControlEvent {
@@ -119,7 +120,7 @@
 fn with_term(now: Instant, record: TermRecord) -> (ControlState, BootTime) {
     let mut state = state(now);
     let as_of = BootTime::now();
-    let records = vec![(record, 5)];
+    let records = vec![(record, 5.into())];
     state.handle(now, terms_event(as_of, records));
     (state, as_of)
 }
@@ -138,7 +139,7 @@
     first.fence = 0;
     let expected = ControlAction::WriteTerm {
         record: first,
-        if_version: 0,
+        if_version: 0.into(),
     };
     assert_eq!(state.plan(now), [expected]);
 }
@@ -155,7 +156,7 @@
     let (mut state, _) = with_term(now, record(&["h1~0"]));
     let expected = ControlAction::WriteTerm {
         record: record(&[OWN_RUN]),
-        if_version: 5,
+        if_version: 5.into(),
     };
     assert_eq!(state.plan(now), [expected]);
 }
@@ -195,7 +196,7 @@
     assert!(state.release(&"orders".into(), 3, &OWN_RUN.into()));
     assert!(!state.view().terms["orders"].may_use_primary(3, as_of));
     // A later read of the record still lists this run as a holder.
-    let records = vec![(record(&[OWN_RUN]), 6)];
+    let records = vec![(record(&[OWN_RUN]), 6.into())];
     state.handle(now, terms_event(as_of, records));
     assert!(!state.view().terms["orders"].may_use_primary(3, as_of));
     assert_eq!(state.plan(now), []);
@@ -216,7 +217,7 @@
     assert_eq!(view.host("h2").unwrap().run, "h2~1");
     let joined = ControlAction::WriteTerm {
         record: record(&["h2~1", OWN_RUN]),
-        if_version: 5,
+        if_version: 5.into(),
     };
     assert_eq!(state.plan(now), [joined]);
 }
@@ -264,7 +265,7 @@
 fn handed_over_change_waits_for_its_record() {
     let now = Instant::now();
     let (mut state, as_of) = with_term(now, record(&[OWN_RUN]));
-    let (database, term, version) = ("orders".into(), 4, 6);
+    let (database, term, version) = ("orders".into(), 4, 6.into());
     state.handle(now, ControlEvent::ChangeHandedOver { database, term });
     assert_eq!(state.plan(now), []);
     let mut newer = record(&[OWN_RUN]);
@@ -301,7 +302,7 @@
         hosts_event(vec![host("h2", "h2~1"), host("h1", OWN_RUN)]),
     );
     let newer = record(&[OWN_RUN, "h2~1"]);
-    let (record, version) = (newer.clone(), 6);
+    let (record, version) = (newer.clone(), 6.into());
     state.handle(
         now,
         ControlEvent::Term {
@@ -348,7 +349,7 @@
     let (mut state, as_of) = with_term(now, record(&[OWN_RUN]));
     let mut older = record(&[OWN_RUN]);
     older.term = 2;
-    let records = vec![(older, 4)];
+    let records = vec![(older, 4.into())];
     state.handle(now, terms_event(as_of, records));
     assert_eq!(state.view().terms["orders"].record.term, 3);
 }
@@ -362,7 +363,7 @@
     state.handle(now, instances_event(list));
     let expected = ControlAction::ChangePrimary {
         database: "orders".into(),
-        version: 5,
+        version: 5.into(),
         reason: ChangeReason::Leaving,
     };
     assert_eq!(state.plan(now), [expected]);
@@ -397,7 +398,7 @@
     let now = Instant::now();
     let mut state = state_without_instances(now);
     let instances = || instances_event(vec![instance("b", DatabaseRole::Replica)]);
-    let terms = || terms_event(BootTime::now(), vec![(record(&["h1~0"]), 5)]);
+    let terms = || terms_event(BootTime::now(), vec![(record(&["h1~0"]), 5.into())]);
     if instances_first {
         state.handle(now, instances());
         state.handle(now, terms());
@@ -408,7 +409,7 @@
     assert_eq!(state.plan(now + Duration::from_secs(2)), []);
     let expected = ControlAction::ChangePrimary {
         database: "orders".into(),
-        version: 5,
+        version: 5.into(),
         reason: ChangeReason::Gone,
     };
     assert_eq!(state.plan(now + Duration::from_secs(3)), [expected]);
@@ -438,7 +439,7 @@
     renamed.primary = "z".into();
     let expected = ControlAction::WriteTerm {
         record: renamed,
-        if_version: 5,
+        if_version: 5.into(),
     };
     assert_eq!(state.plan(now), [expected]);
 }
@@ -480,7 +481,7 @@
     let now = Instant::now();
     let (mut state, _) = with_term(now, record(&[OWN_RUN]));
     let database = || "orders".into();
-    let (term, version) = (3, 5);
+    let (term, version) = (3, 5.into());
     state.handle(
         now,
         ControlEvent::ChangeHandedOver {
@@ -609,8 +610,8 @@
     let mut state = state(now);
     let mut leaving = primary_and_replica();
     leaving[1].leaving = true;
-    let event = |revision, list| ControlEvent::Instances {
-        revision,
+    let event = |revision: u64, list| ControlEvent::Instances {
+        revision: revision.into(),
         as_of: None,
         list,
     };
@@ -620,7 +621,10 @@
     state.handle(now, event(9001, primary_and_replica()));
     assert!(!state.view().instances["b"].leaving);
 
-    let hosts = |revision, list| ControlEvent::Hosts { revision, list };
+    let hosts = |revision: u64, list| ControlEvent::Hosts {
+        revision: revision.into(),
+        list,
+    };
     let both = vec![host("h1", OWN_RUN), host("h2", "h2~1")];
     state.handle(now, hosts(9000, vec![host("h1", OWN_RUN)]));
     state.handle(now, hosts(8999, both));
@@ -655,7 +659,7 @@
         state.handle(now, ControlEvent::Endpoints(table));
         state.handle(now, hosts_event(list.clone()));
         state.handle(now, instances_event(primary_and_replica()));
-        let records = vec![(record(&["h1~0"]), 5)];
+        let records = vec![(record(&["h1~0"]), 5.into())];
         state.handle(now, terms_event(BootTime::now(), records));
         joined_at_once += state.plan(now).len();
         // Each joins in the end, should the others not.
--- a/crates/proxy/tests/leases.rs
+++ b/crates/proxy/tests/leases.rs
@@ -144,7 +144,7 @@
                 holders: vec![run_of(0), run_of(1)],
                 changed_by: None,
             },
-            version: 1,
+            version: 1.into(),
             hosts: hosts.collect(),
             answers: vec![VecDeque::new(); HOSTS],
             listed: (0..HOSTS).map(|index| (index, None)).collect(),
@@ -182,7 +182,7 @@
             Step::Reserve if self.record.changed_by.is_none() => {
                 self.record.fence += 1;
                 self.record.changed_by = Some("changer~1".into());
-                self.version += 1;
+                self.version.revision += 1;
                 self.awaited_holders = self.record.holders.iter().cloned().collect();
                 self.leases_expire_at = self.now.after(LEASE_TIME);
             }
@@ -229,7 +229,7 @@
         }
         self.record.holders.retain(|run| listed.contains(run));
         self.record.holders.push(run);
-        self.version += 1;
+        self.version.revision += 1;
     }
 
     fn deliver(&mut self, host: usize) {
@@ -242,7 +242,7 @@
         } else {
             asked_at
         };
-        let now = self.instant();
+        let (now, revision) = (self.instant(), revision.into());
         if self.fault != InjectedFault::IgnoresHostList {
             self.hosts[host].handle(now, ControlEvent::Hosts { revision, list });
         }
@@ -280,7 +280,7 @@
         let candidates = (0..HOSTS).map(|step| (self.promotions + step) % HOSTS);
         let mut candidates = candidates.filter(|host| self.listed.get(host) == Some(&None));
         self.record.holders = candidates.next().map(run_of).into_iter().collect();
-        self.version += 1;
+        self.version.revision += 1;
     }
 
     /// Describes a host that may use a replaced primary, if there is one.
--- a/crates/proxy/tests/routes.rs
+++ b/crates/proxy/tests/routes.rs
@@ -45,10 +45,16 @@
     }
     let mut state = ControlState::new(host(0), regions);
     let list = (0..hosts).map(host).collect();
-    state.handle(Instant::now(), ControlEvent::Hosts { revision: 1, list });
+    state.handle(
+        Instant::now(),
+        ControlEvent::Hosts {
+            revision: 1.into(),
+            list,
+        },
+    );
     let list = (0..instances).map(instance).collect();
     let event = ControlEvent::Instances {
-        revision: 1,
+        revision: 1.into(),
         as_of: None,
         list,
     };
@@ -114,10 +120,16 @@
     }
     let mut state = ControlState::new(list[0].clone(), BTreeMap::new());
     let now = Instant::now();
-    state.handle(now, ControlEvent::Hosts { revision: 1, list });
+    state.handle(
+        now,
+        ControlEvent::Hosts {
+            revision: 1.into(),
+            list,
+        },
+    );
     let list = (0..instances).map(|index| instance(index * 3)).collect();
     let event = ControlEvent::Instances {
-        revision: 1,
+        revision: 1.into(),
         as_of: None,
         list,
     };
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -13,4 +13,4 @@
 pub use crate::order::SpreadHost;
 pub use crate::source::{SourceAges, SourceTable, is_source_news};
 pub use crate::state::{FEED_COUNT, FeedKind, SpreadState};
-pub use crate::version::{KnownVersions, ListVersion, UNREAD_DIGEST};
+pub use crate::version::{KnownVersions, ListVersion, StoreRevision, UNREAD_DIGEST};
