--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -33,6 +33,8 @@
     pub path: CompactString,
     /// Query without the question mark.
     pub query: CompactString,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body, at most 4 MiB.
     pub body: Vec<u8>,
 }
@@ -161,6 +163,7 @@
                 method: parts.method,
                 path: parts.uri.path().into(),
                 query: parts.uri.query().unwrap_or_default().into(),
+                headers: parts.headers,
                 body: body.to_bytes().to_vec(),
             };
             handler(request).await
--- a/crates/proxy/src/catalogue.rs
+++ b/crates/proxy/src/catalogue.rs
@@ -165,6 +165,21 @@
     pub holders: Vec<RunName>,
     /// Run that is changing the term; no host may use the primary meanwhile.
     pub changed_by: Option<RunName>,
+    /// Era of the store in which the record was written. A store that came back from
+    /// an older copy shows records of earlier eras, which may be out of date.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub era: u64,
+    /// Whether every lease of an earlier era had expired when the record was written.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_settled: bool,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// A term record with its version, as hosts send it to each other.
--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -56,6 +56,14 @@
 /// Time for a replica to receive the log of a primary that stepped down, and for a
 /// primary without a free slot to step down after all hosts have released its term.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time after the start of a call to the store that showed the reservation, within which
+/// an order may be sent. With the time of an order it is shorter than
+/// [`crate::control::SETTLE_TIME`], so that no order of a reservation that the store has
+/// lost follows one of a later era.
+const ORDER_TIME: Duration = Duration::from_secs(10);
+/// Bits of a fencing token that count the changes within an era of the store; the bits
+/// above them are the era. So no two eras have a token in common.
+const ERA_FENCE_BITS: u32 = 20;
 /// Time within which an instance must lead after the order to promote it; the
 /// platform needs up to a second.
 const PROMOTE_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -88,6 +96,11 @@
     record: TermRecord,
     version: ObjectVersion,
     begun_at: BootTime,
+    /// Start of the last call to the store that showed the reservation.
+    shown_at: BootTime,
+    /// Whether an instance that leads a later term was promoted by an earlier change that
+    /// the store knows.
+    continues_change: bool,
 }
 
 /// Replaces the primary of a database, if its term record still has `version`.
@@ -118,8 +131,16 @@
         record.term
     );
     let begun_at = BootTime::now();
-    let Some((reserved, version)) = reserve_change(context, port, record.clone(), version).await
-    else {
+    let is_lost = reason == ChangeReason::Unconfirmed;
+    let mut record = record.clone();
+    if is_lost {
+        // Leases of earlier eras have expired, and nobody has one of this era.
+        record.holders.clear();
+    }
+    record.is_settled = !is_lost && view.versions.era > 0;
+    let continues_change = view.versions.era == 0 || reason == ChangeReason::Abandoned;
+    let reserving = reserve_change(context, port, record, term.stored);
+    let Some((reserved, version)) = reserving.await else {
         log::info!("{database}: the change of primary was not reserved, it is left to other hosts");
         return;
     };
@@ -130,6 +151,8 @@
         record: reserved,
         version,
         begun_at,
+        shown_at: begun_at,
+        continues_change,
     };
     change.announce_record();
     match change.run().await {
@@ -149,10 +172,12 @@
 ) -> Option<(TermRecord, ObjectVersion)> {
     let deadline = Instant::now() + RESERVE_TIMEOUT;
     let (database, old_term) = (record.database.clone(), record.term);
+    let era = version.era;
     let mut has_handed_over = false;
     for _ in 0..RESERVE_ATTEMPTS {
         let mut reserved = record.clone();
-        reserved.fence += 1;
+        reserved.fence = next_fence(reserved.fence, era);
+        reserved.era = era;
         reserved.changed_by = Some(context.place.run.clone());
         let on_failure = || {
             if !std::mem::replace(&mut has_handed_over, true) {
@@ -162,13 +187,22 @@
         };
         let reserving = port.write_confirmed(&reserved, version, deadline, on_failure);
         if let Some(version) = reserving.await {
-            return Some((reserved, version));
+            // A reservation that an older copy still shows counts for nobody else.
+            return (version.era == era).then_some((reserved, version));
         }
         let held = (port.read_term)(database.clone()).await;
         let (held, held_version) = held.flatten()?;
+        if held_version.era != era || held_version == version {
+            return None;
+        }
+        if (held.term, held.fence) < (record.term, record.fence) {
+            // The store has lost what this host knows, and shows an older record.
+            version = held_version;
+            continue;
+        }
         let is_same_primary = held.primary == record.primary;
         let is_reservable = held.term == old_term && is_same_primary && held.changed_by.is_none();
-        if !is_reservable || held_version == version {
+        if !is_reservable {
             return None;
         }
         (record, version) = (held, held_version);
@@ -176,6 +210,11 @@
     None
 }
 
+/// The fencing token of the next reservation in an era of the store.
+fn next_fence(known: u64, era: u64) -> u64 {
+    known.max(era.saturating_mul(1 << ERA_FENCE_BITS)) + 1
+}
+
 impl PrimaryChange<'_> {
     fn announce_record(&self) {
         let event = ControlEvent::Term {
@@ -196,17 +235,21 @@
     }
 
     async fn run(&mut self) -> Option<InstanceId> {
-        let old_term = self.record.term;
+        let mut old_term = self.record.term;
         if let Some((primary, term)) = self.find_promoted_instance(old_term).await {
-            // An earlier change promoted this instance but did not publish its
-            // term.
-            self.publish_term(&primary, term).await;
-            return Some(primary.id);
+            if self.continues_change {
+                // An earlier change promoted this instance but did not publish its
+                // term.
+                self.publish_term(&primary, term).await;
+                return Some(primary.id);
+            }
+            // The store has lost the change that promoted it, and maybe later ones.
+            old_term = term;
         }
         let stepped_down = self.end_term(old_term).await;
         let floor = stepped_down.map(|status| status.received);
         let catch_up_until = Instant::now() + CATCH_UP_TIMEOUT;
-        while self.is_in_time() {
+        while self.is_in_time() && self.context.era.get() == self.version.era {
             let choosing = self.choose_instance(old_term + 1, floor, catch_up_until);
             let Some(chosen) = choosing.await else {
                 Timer::after(BUSY_POLL_INTERVAL).await;
@@ -220,22 +263,24 @@
         None
     }
 
-    /// An instance that already leads a later term.
+    /// The instance that already leads the latest term after `old_term`.
     async fn find_promoted_instance(&self, old_term: Term) -> Option<(InstanceEntry, Term)> {
         let view = self.context.view.load();
+        let mut promoted: Option<(InstanceEntry, Term)> = None;
         for instance in view.instances_of(&self.record.database) {
             if instance.id == self.record.primary || instance.role != DatabaseRole::Primary {
                 continue;
             }
             let answer = self.command(instance, DatabaseCommand::Status).await;
+            let known_term = promoted.as_ref().map_or(old_term, |(_, term)| *term);
             if let Some(status) = answer.status()
                 && status.role == DatabaseRole::Primary
-                && status.term > old_term
+                && status.term > known_term
             {
-                return Some((instance.clone(), status.term));
+                promoted = Some((instance.clone(), status.term));
             }
         }
-        None
+        promoted
     }
 
     async fn command(&self, instance: &InstanceEntry, command: DatabaseCommand) -> CommandAnswer {
@@ -409,16 +454,35 @@
         Some(chosen.instance.clone())
     }
 
+    /// Whether the store has shown the reservation within [`ORDER_TIME`]. Asks it again if
+    /// that is longer ago. A store that names no era does not lose reservations.
+    async fn is_reservation_shown(&mut self) -> bool {
+        if self.version.era == 0 {
+            return true;
+        }
+        if BootTime::now().since(self.shown_at) >= ORDER_TIME {
+            let asked_at = BootTime::now();
+            let held = (self.port.read_term)(self.record.database.clone()).await;
+            match held.flatten() {
+                Some((held, version)) if held == self.record && version == self.version => {
+                    self.shown_at = asked_at;
+                }
+                _ => return false,
+            }
+        }
+        self.context.era.get() == self.version.era
+    }
+
     /// Sends a promotion order and waits until the instance leads. Returns its
     /// term.
-    async fn promote(&self, chosen: &InstanceEntry, old_term: Term) -> Option<Term> {
+    async fn promote(&mut self, chosen: &InstanceEntry, old_term: Term) -> Option<Term> {
         let order = PromoteOrder {
             database: self.record.database.clone(),
             instance: chosen.id.clone(),
             holder: self.context.place.host.clone(),
             fence: self.record.fence,
         };
-        if !self.is_in_time() {
+        if !self.is_in_time() || !self.is_reservation_shown().await {
             return None;
         }
         let outcome = (self.port.promote)(order).await;
@@ -459,6 +523,7 @@
         self.record.primary.clone_from(&chosen.id);
         self.record.holders = holders;
         self.record.changed_by = None;
+        self.record.is_settled = self.version.era > 0;
         let as_of = BootTime::now();
         let deadline = Instant::now() + CHANGE_TIMEOUT;
         let written = self
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -29,6 +29,14 @@
 /// minus the time of one watch call. A change of primary waits this long for a
 /// holder that cannot be asked.
 pub const LEASE_TIME: Duration = Duration::from_secs(12);
+/// Time after a host has learnt of a new era of the store within which hosts may use
+/// terms, or be among their holders, of which neither this host nor the store knows:
+/// leases of the era before last that long. A margin is added, since clocks of hosts may
+/// run at different rates.
+pub const SETTLE_TIME: Duration = Duration::from_millis(12_300);
+/// Least time between two writes of this host's entry after the store has lost it, and
+/// longest delay of the first.
+const RESTORE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which an instance that is no longer listed is kept, and for which
 /// this run keeps its terms after it disappeared from the list. Entries that
 /// expired during an outage of the store are back within two seconds of its end.
@@ -130,10 +138,22 @@
     /// Since this time it is no longer listed, or other hosts have marked it as
     /// leaving.
     Missing(Instant),
+    /// The store came back from an older copy that does not list it.
+    Lost,
     /// Other hosts have removed it from the list, or are about to.
     Dropped,
 }
 
+/// Whether the system has run before.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum SystemStart {
+    /// It starts for the first time.
+    First,
+    /// It may have run before.
+    #[default]
+    Again,
+}
+
 /// The state that control plans from and publishes as views.
 #[derive(Debug)]
 pub struct ControlState {
@@ -146,6 +166,8 @@
     routes: Arc<RouteIndex>,
     /// How the store lists this run.
     listing: OwnListing,
+    /// Era of the last list with this run.
+    listed_era: u64,
     terms: BTreeMap<DatabaseName, TermView>,
     leader_terms: BTreeMap<InstanceId, Term>,
     confirmed: ConfirmedTimes,
@@ -163,6 +185,14 @@
     /// Since when this host should join the holders of a term.
     join_since: BTreeMap<DatabaseName, Instant>,
     leaving: bool,
+    start: SystemStart,
+    /// When this host learnt of the era of the store; none if nothing of an earlier era
+    /// can be in use.
+    era_since: Option<Instant>,
+    /// When this host's entry may be written again.
+    restore_at: Option<Instant>,
+    /// Since when a record should be written again.
+    rewrite_since: BTreeMap<DatabaseName, Instant>,
 }
 
 impl ControlState {
@@ -182,6 +212,7 @@
             leaving_hosts: Arc::default(),
             routes: Arc::new(RouteIndex::new(&hosts, &BTreeMap::new())),
             listing: OwnListing::default(),
+            listed_era: 0,
             terms: BTreeMap::new(),
             leader_terms: BTreeMap::new(),
             confirmed: ConfirmedTimes::default(),
@@ -198,9 +229,21 @@
             handed_over: BTreeMap::new(),
             join_since: BTreeMap::new(),
             leaving: false,
+            start: SystemStart::default(),
+            era_since: None,
+            restore_at: None,
+            rewrite_since: BTreeMap::new(),
         }
     }
 
+    /// States that the whole system starts for the first time, so that nothing of an
+    /// earlier era of the store can be in use.
+    #[must_use]
+    pub const fn with_first_start(mut self) -> Self {
+        self.start = SystemStart::First;
+        self
+    }
+
     /// The view of the present state, for traffic to be routed by.
     #[must_use]
     pub fn view(&self) -> TrafficView {
@@ -239,7 +282,7 @@
                 as_of,
                 list,
             } => {
-                self.learn_era(revision.era);
+                self.learn_era(now, revision.era);
                 if self.apply_instances(now, revision, list) {
                     self.confirmed.instances = self.confirmed.instances.max(as_of);
                 }
@@ -250,14 +293,14 @@
                 }
             }
             ControlEvent::Hosts { revision, list } => {
-                self.learn_era(revision.era);
+                self.learn_era(now, revision.era);
                 self.apply_hosts(now, revision, list);
             }
             ControlEvent::Confirmed {
                 versions,
                 confirmed,
             } => {
-                self.learn_era(versions.era);
+                self.learn_era(now, versions.era);
                 self.confirm(versions, confirmed);
             }
             ControlEvent::InstancesDown(down) => self.down_instances = down,
@@ -274,7 +317,7 @@
                 revision,
                 records,
             } => {
-                self.learn_era(revision.era);
+                self.learn_era(now, revision.era);
                 self.terms_read = true;
                 self.apply_terms(as_of, records);
                 self.note_missing_primaries(now);
@@ -287,7 +330,7 @@
                 record,
                 version,
             } => {
-                self.learn_era(version.era);
+                self.learn_era(now, version.era);
                 self.apply_terms(as_of, vec![(record, version)]);
                 self.note_missing_primaries(now);
             }
@@ -297,18 +340,40 @@
         }
     }
 
-    /// Takes note of an era of the store.
-    fn learn_era(&mut self, era: u64) {
-        if era <= self.versions.era {
-            return;
-        }
-        if self.versions.era > 0 {
-            log::warn!(
-                "the store came back from an older copy, era {era} after {}",
-                self.versions.era
-            );
+    /// Takes note of an era of the store. Returns whether it is a new one.
+    pub fn learn_era(&mut self, now: Instant, era: u64) -> bool {
+        let known = self.versions.era;
+        if era <= known {
+            return false;
         }
         self.versions.era = era;
+        let is_new_store = known == 0 && self.terms.is_empty();
+        let is_settled = is_new_store && self.start == SystemStart::First;
+        self.era_since = (!is_settled).then_some(now);
+        if !is_new_store {
+            log::warn!("the store came back from an older copy, era {era} after {known}");
+            if self.listing == OwnListing::Unknown {
+                self.listing = OwnListing::Lost;
+            }
+        }
+        self.leader_terms.clear();
+        self.rewrite_since.clear();
+        for term in self.terms.values_mut() {
+            term.stored = ObjectVersion::new(era, 0);
+        }
+        true
+    }
+
+    /// Whether every lease of an earlier era of the store has expired.
+    fn is_era_settled(&self, now: Instant) -> bool {
+        let since = self.era_since;
+        since.is_none_or(|since| now.saturating_duration_since(since) >= SETTLE_TIME)
+    }
+
+    /// Whether the holders of this term are known, and no other term can be in use.
+    fn is_settled(&self, now: Instant, term: &TermView) -> bool {
+        let is_confirmed = term.is_confirmed(self.versions.era);
+        (is_confirmed && term.record.is_settled) || self.is_era_settled(now)
     }
 
     /// Whether a list of this revision arrives late: it is of an earlier era than the
@@ -414,7 +479,7 @@
             .record(self.versions.hosts.digest, digest, changes);
         self.versions.hosts = ListVersion::new(digest, revision);
         self.listed_hosts = Arc::new(list.clone());
-        self.update_listing(now, &list);
+        self.update_listing(now, revision.era, &list);
         let (mut hosts, mut leaving) = (BTreeMap::new(), BTreeMap::new());
         for entry in list {
             let map = if entry.leaving {
@@ -441,16 +506,23 @@
 
     /// Updates how this run is listed. The list may come from a host that is
     /// slightly behind, so a list without this run does not at once count as its
-    /// removal.
-    fn update_listing(&mut self, now: Instant, list: &[HostEntry]) {
+    /// removal. One of a later era than the last list with this run is no removal: the
+    /// store has lost the entry.
+    fn update_listing(&mut self, now: Instant, era: u64, list: &[HostEntry]) {
         let own = list.iter().find(|entry| entry.run == self.own.run);
         let is_listed = own.is_some_and(|entry| self.leaving || !entry.leaving);
+        let is_later_era = era > self.listed_era;
         self.listing = match self.listing {
             _ if is_listed => OwnListing::Listed,
+            OwnListing::Listed if is_later_era && own.is_none() => OwnListing::Lost,
             OwnListing::Listed => OwnListing::Missing(now),
-            OwnListing::Unknown if own.is_some() => OwnListing::Missing(now),
+            OwnListing::Unknown | OwnListing::Lost if own.is_some() => OwnListing::Missing(now),
             other => other,
         };
+        if is_listed {
+            self.listed_era = era;
+            self.restore_at = None;
+        }
         self.refresh_holders();
     }
 
@@ -498,7 +570,9 @@
         }
         let lease_until = as_of.after(LEASE_TIME);
         for term in self.terms.values_mut() {
-            term.lease_until = term.lease_until.max(lease_until);
+            if term.is_confirmed(self.versions.era) {
+                term.lease_until = term.lease_until.max(lease_until);
+            }
         }
         self.confirmed.terms = self.confirmed.terms.max(Some(as_of));
     }
@@ -542,11 +616,9 @@
         for (record, version) in records {
             let revision = &mut self.versions.terms.revision;
             *revision = (*revision).max(version);
-            let held = self.terms.get(&record.database);
-            if held.is_none_or(|held| held.version < version) {
-                changed.push((record.clone(), version));
+            if self.apply_term(as_of, &record, version) {
+                changed.push((record, version));
             }
-            self.apply_term(as_of, record, version);
         }
         let is_first = self.versions.terms.digest == UNREAD_DIGEST;
         if changed.is_empty() && !is_first {
@@ -563,27 +635,45 @@
         self.versions.terms.digest = digest;
     }
 
-    fn apply_term(&mut self, as_of: BootTime, record: TermRecord, version: ObjectVersion) {
-        if let Some(held) = self.terms.get(&record.database)
-            && version < held.version
-        {
-            return;
+    /// Applies a record. Returns whether it is another one than the one before.
+    fn apply_term(&mut self, as_of: BootTime, record: &TermRecord, version: ObjectVersion) -> bool {
+        let era = self.versions.era;
+        let mut stored = ObjectVersion::new(era, 0);
+        if version.era == era {
+            stored = version;
+        }
+        if let Some(held) = self.terms.get_mut(&record.database) {
+            held.stored = held.stored.max(stored);
+            stored = held.stored;
+            if !held.is_replaced_by(record, version) {
+                return false;
+            }
         }
-        let is_holder = self.is_holder_of(&record);
         let held = self.terms.get(&record.database);
-        let lease_until = match held {
-            Some(held) if !self.may_extend_leases() => held.lease_until,
+        let mut term = TermView {
+            record: record.clone(),
+            version,
+            stored,
+            is_holder: self.is_holder_of(record),
+            lease_until: as_of,
+        };
+        let may_extend = self.may_extend_leases();
+        term.lease_until = match held {
+            // Leases of an earlier era run on, and a record of an older copy grants none.
+            Some(held) if !term.is_confirmed(era) => {
+                let is_same = held.record.term == record.term;
+                let is_same = is_same && held.record.primary == record.primary;
+                if is_same { held.lease_until } else { as_of }
+            }
+            None if !term.is_confirmed(era) => as_of,
+            Some(held) if !may_extend => held.lease_until,
             Some(held) if held.version == version => held.lease_until.max(as_of.after(LEASE_TIME)),
-            _ if !self.may_extend_leases() => as_of,
+            _ if !may_extend => as_of,
             _ => as_of.after(LEASE_TIME),
         };
-        let term = TermView {
-            record,
-            version,
-            is_holder,
-            lease_until,
-        };
-        self.terms.insert(term.record.database.clone(), term);
+        let is_changed = held.is_none_or(|held| held.version != version);
+        self.terms.insert(record.database.clone(), term);
+        is_changed
     }
 
     fn has_released(&self, record: &TermRecord) -> bool {
--- a/crates/proxy/src/control/plan.rs
+++ b/crates/proxy/src/control/plan.rs
@@ -5,10 +5,11 @@
 use fulmarrill_position::DatabaseName;
 
 use crate::catalogue::{InstanceEntry, InstanceId, ObjectVersion, RunName, TermRecord};
+use crate::clock::BootTime;
 use crate::codec::DatabaseRole;
-use crate::control::{ControlState, MISSING_GRACE_TIME, OwnListing};
+use crate::control::{ControlState, MISSING_GRACE_TIME, OwnListing, RESTORE_INTERVAL, SETTLE_TIME};
 use crate::view::routes::rank_of;
-use crate::view::{TermView, TrafficView};
+use crate::view::{TermView, TrafficView, digest_of};
 
 /// Time after which a change of primary that a listed run began counts as
 /// abandoned. It is longer than [`crate::change::CHANGE_TIMEOUT`] by a margin.
@@ -21,6 +22,8 @@
 /// need to use it.
 pub const PREFERRED_HOLDERS: usize = 3;
 
+/// Number of moments over which hosts spread that write their entries again.
+const RESTORE_SPREAD: u32 = 1000;
 /// Delay of each preferred owner behind the one before it in joining the holders.
 const JOIN_STEP: Duration = Duration::from_millis(300);
 
@@ -29,6 +32,8 @@
 pub enum ControlAction {
     /// Registers this host in the store again, after others removed its entry.
     RegisterHost,
+    /// Writes the entry of this host again, which the store has lost.
+    RestoreHost,
     /// Writes a term record if the stored one still has this version.
     WriteTerm {
         /// The record.
@@ -62,6 +67,9 @@
     Handed,
     /// The host that reserved a change did not finish it.
     Abandoned,
+    /// The store came back from an older copy, and no host has a lease by which it
+    /// could write the record again.
+    Unconfirmed,
 }
 
 impl ControlState {
@@ -82,6 +90,12 @@
         rank_of(database, &self.hosts, &self.own.name)
     }
 
+    /// Delay of this host behind the first one of the election order of a database.
+    fn election_delay(&self, database: &str) -> Duration {
+        let index = u32::try_from(self.election_index(database)).unwrap_or(u32::MAX);
+        ELECTION_STEP * index.min(MAX_ELECTION_STEPS)
+    }
+
     /// Plans the actions that are due at `now`.
     pub fn plan(&mut self, now: Instant) -> Vec<ControlAction> {
         let mut actions = Vec::new();
@@ -95,15 +109,27 @@
             actions.push(ControlAction::RegisterHost);
             return actions;
         }
+        if self.listing == OwnListing::Lost {
+            self.plan_restored_host(now, &mut actions);
+        }
         let view = self.view();
         for database in table.databases.keys() {
             match self.terms.get(database).cloned() {
+                // The store may have lost a record by which others use a primary.
+                None if !self.is_era_settled(now) => {}
                 None => self.plan_first_term(&view, database, &mut actions),
+                Some(term) if !term.is_confirmed(self.versions.era) => {
+                    actions.extend(self.plan_unconfirmed_term(now, &view, &term));
+                }
                 Some(term) => {
                     if self.plan_renamed_primary(&view, &term, &mut actions) {
                         continue;
                     }
                     self.plan_holder_join(now, &view, &term, &mut actions);
+                    if !self.is_settled(now, &term) {
+                        continue;
+                    }
+                    actions.extend(self.plan_settled_term(now, &view, &term));
                     actions.extend(self.plan_handed_over(&term));
                     actions.extend(self.plan_change(now, &view, &term));
                 }
@@ -112,6 +138,80 @@
         actions
     }
 
+    /// Plans to write the entry of this host again. Hosts that all lost their entries
+    /// do not write at the same moment.
+    fn plan_restored_host(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
+        let place =
+            u32::try_from(digest_of(&self.own.run) % u64::from(RESTORE_SPREAD)).unwrap_or_default();
+        let delay = RESTORE_INTERVAL * place / RESTORE_SPREAD;
+        let restore_at = *self.restore_at.get_or_insert(now + delay);
+        if now >= restore_at {
+            self.restore_at = Some(now + RESTORE_INTERVAL);
+            actions.push(ControlAction::RestoreHost);
+        }
+    }
+
+    /// Whether this host's turn has come to write a record again: the preferred owners of
+    /// its primary come first.
+    fn is_rewrite_due(&mut self, now: Instant, view: &TrafficView, term: &TermView) -> bool {
+        let instance = self.instances.get(&term.record.primary);
+        let index = instance.map_or(usize::MAX, |instance| self.owner_index(view, instance));
+        let index = u32::try_from(index.min(PREFERRED_HOLDERS)).unwrap_or_default();
+        let database = &term.record.database;
+        let since = *self.rewrite_since.entry(database.clone()).or_insert(now);
+        now.saturating_duration_since(since) >= JOIN_STEP * index
+    }
+
+    /// Plans what follows from a record that the store has lost, or shows from an older
+    /// copy. A run with a valid lease on the term writes it again: a later term can exist
+    /// only if the primary has stepped down, and then it takes no writes. Without one the
+    /// primary is changed once no other lease can be valid.
+    fn plan_unconfirmed_term(
+        &mut self,
+        now: Instant,
+        view: &TrafficView,
+        term: &TermView,
+    ) -> Option<ControlAction> {
+        let is_due = self.is_rewrite_due(now, view, term);
+        let database = &term.record.database;
+        if term.may_use_primary(term.record.term, BootTime::now()) {
+            let mut record = term.record.clone();
+            record.era = self.versions.era;
+            record.is_settled = self.is_era_settled(now);
+            let if_version = term.stored;
+            return is_due.then_some(ControlAction::WriteTerm { record, if_version });
+        }
+        let delay = self.election_delay(database);
+        let since = *self.rewrite_since.get(database)?;
+        let waited = now.saturating_duration_since(since);
+        let is_elected = self.is_era_settled(now) && waited >= SETTLE_TIME + delay;
+        is_elected.then(|| ControlAction::ChangePrimary {
+            database: database.clone(),
+            version: term.version,
+            reason: ChangeReason::Unconfirmed,
+        })
+    }
+
+    /// Plans to state in a record that every lease of an earlier era has expired.
+    fn plan_settled_term(
+        &mut self,
+        now: Instant,
+        view: &TrafficView,
+        term: &TermView,
+    ) -> Option<ControlAction> {
+        if self.versions.era == 0 || term.record.is_settled || !term.is_holder {
+            self.rewrite_since.remove(&term.record.database);
+            return None;
+        }
+        if term.record.changed_by.is_some() || !self.is_rewrite_due(now, view, term) {
+            return None;
+        }
+        let mut record = term.record.clone();
+        record.is_settled = true;
+        let if_version = term.stored;
+        Some(ControlAction::WriteTerm { record, if_version })
+    }
+
     /// The reason to replace the primary of a term, if there is one, and how long
     /// the reason must last before this host acts. The delay leaves the change to
     /// the hosts that come earlier in the election order.
@@ -123,10 +223,7 @@
     ) -> Option<(ChangeReason, Duration)> {
         let record = &term.record;
         // Computed only while there is a reason, since it depends on all hosts.
-        let election_delay = || {
-            let index = u32::try_from(self.election_index(&record.database)).unwrap_or(u32::MAX);
-            ELECTION_STEP * index.min(MAX_ELECTION_STEPS)
-        };
+        let election_delay = || self.election_delay(&record.database);
         if let Some(run) = &record.changed_by {
             let mut listed = self.hosts.values().chain(self.leaving_hosts.values());
             let is_listed = listed.any(|host| host.run == *run);
@@ -235,6 +332,7 @@
             let mut renamed = record.clone();
             renamed.primary.clone_from(&instance.id);
             renamed.holders = self.preferred_holders(view, instance);
+            renamed.era = self.versions.era;
             actions.push(ControlAction::WriteTerm {
                 record: renamed,
                 if_version: term.version,
@@ -276,8 +374,10 @@
                 fence: 0,
                 holders: self.preferred_holders(view, instance),
                 changed_by: None,
+                era: self.versions.era,
+                is_settled: self.versions.era > 0,
             };
-            let if_version = ObjectVersion::default();
+            let if_version = ObjectVersion::new(self.versions.era, 0);
             actions.push(ControlAction::WriteTerm { record, if_version });
         }
     }
@@ -314,8 +414,12 @@
         let mut record = term.record.clone();
         let listed = self.hosts.values().chain(self.leaving_hosts.values());
         let listed_runs: Vec<_> = listed.map(|host| &host.run).collect();
-        record.holders.retain(|run| listed_runs.contains(&run));
+        // A store that came back from an older copy may list an earlier run, or none.
+        if self.is_settled(now, term) {
+            record.holders.retain(|run| listed_runs.contains(&run));
+        }
         record.holders.push(self.own.run.clone());
+        record.era = self.versions.era;
         let if_version = term.version;
         actions.push(ControlAction::WriteTerm { record, if_version });
     }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -105,6 +105,9 @@
             Err(RecvTimeoutError::Disconnected) => return,
         }
         let now = Instant::now();
+        if state.learn_era(now, context.era.get()) {
+            publish_view(context, &state);
+        }
         issued.retain(|(_, retry_at)| now < *retry_at);
         for action in state.plan(now) {
             if issued.iter().any(|(other, _)| *other == action) {
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -26,8 +26,12 @@
 pub struct TermView {
     /// The record.
     pub record: TermRecord,
-    /// Its version in the store.
+    /// Its version in the store when it was read; of an earlier era if the store has
+    /// lost it.
     pub version: ObjectVersion,
+    /// Version that the store of the latest era shows, as the condition of the next
+    /// write.
+    pub stored: ObjectVersion,
     /// Whether this run of this host is among the holders.
     pub is_holder: bool,
     /// When the lease expires; it lets a holder use the primary until then.
@@ -35,6 +39,28 @@
 }
 
 impl TermView {
+    /// Whether the record was written in the latest era of the store, `era`, and is not
+    /// just shown by an older copy.
+    #[must_use]
+    pub const fn is_confirmed(&self, era: u64) -> bool {
+        self.version.era == era && self.record.era == era
+    }
+
+    /// Whether a record of this version stands in place of this one. Within an era the
+    /// version decides. Across eras a term or a reservation is never taken back; among
+    /// equals the one that was written later stands.
+    #[must_use]
+    pub fn is_replaced_by(&self, record: &TermRecord, version: ObjectVersion) -> bool {
+        if version.era == self.version.era && record.era == self.record.era {
+            return version >= self.version;
+        }
+        let rank = |record: &TermRecord, version: ObjectVersion| {
+            let written_at = (record.era, version.revision);
+            (record.term, record.fence, written_at, version)
+        };
+        rank(record, version) >= rank(&self.record, self.version)
+    }
+
     /// Whether this host may use the primary of `term` now.
     #[must_use]
     pub fn may_use_primary(&self, term: Term, now: BootTime) -> bool {
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -79,6 +79,8 @@
         fence: 1,
         holders: holders.iter().map(|run| (*run).into()).collect(),
         changed_by: None,
+        era: 0,
+        is_settled: false,
     }
 }
 
--- a/crates/proxy/tests/leases.rs
+++ b/crates/proxy/tests/leases.rs
@@ -143,6 +143,8 @@
                 fence: 0,
                 holders: vec![run_of(0), run_of(1)],
                 changed_by: None,
+                era: 0,
+                is_settled: false,
             },
             version: 1.into(),
             hosts: hosts.collect(),
