--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -58,9 +58,9 @@
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time after the start of a call to the store that showed the reservation, within which
 /// an order may be sent. With the time of an order it is shorter than
-/// [`crate::control::SETTLE_TIME`], so that no order of a reservation that the store has
-/// lost follows one of a later era.
-const ORDER_TIME: Duration = Duration::from_secs(10);
+/// [`crate::control::QUIET_TIME`], so that no order of a reservation that the store has
+/// lost arrives after the term is in use again, or after an order of a later era.
+const ORDER_TIME: Duration = Duration::from_secs(1);
 /// Bits of a fencing token that count the changes within an era of the store; the bits
 /// above them are the era. So no two eras have a token in common.
 const ERA_FENCE_BITS: u32 = 20;
@@ -134,8 +134,8 @@
     let is_lost = reason == ChangeReason::Unconfirmed;
     let mut record = record.clone();
     if is_lost {
-        // Leases of earlier eras have expired, and nobody has one of this era.
-        record.holders.clear();
+        // Leases of earlier eras have expired.
+        record.holders.clone_from(&term.stored_holders);
     }
     record.is_settled = !is_lost && view.versions.era > 0;
     let continues_change = view.versions.era == 0 || reason == ChangeReason::Abandoned;
@@ -198,6 +198,11 @@
         if (held.term, held.fence) < (record.term, record.fence) {
             // The store has lost what this host knows, and shows an older record.
             version = held_version;
+            for run in held.holders {
+                if held.era == era && !record.holders.contains(&run) {
+                    record.holders.push(run);
+                }
+            }
             continue;
         }
         let is_same_primary = held.primary == record.primary;
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -34,6 +34,9 @@
 /// leases of the era before last that long. A margin is added, since clocks of hosts may
 /// run at different rates.
 pub const SETTLE_TIME: Duration = Duration::from_millis(12_300);
+/// Time after which a record that the store has lost may be written again: longer than an
+/// order to promote can arrive after the store has shown its reservation for the last time.
+pub const QUIET_TIME: Duration = Duration::from_secs(3);
 /// Least time between two writes of this host's entry after the store has lost it, and
 /// longest delay of the first.
 const RESTORE_INTERVAL: Duration = Duration::from_secs(1);
@@ -144,6 +147,17 @@
     Dropped,
 }
 
+/// What a record that was read means for the one that is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TermOutcome {
+    /// It takes its place.
+    Changed,
+    /// It is the same, or was read earlier.
+    Known,
+    /// The store has lost the known one.
+    Lost,
+}
+
 /// Whether the system has run before.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum SystemStart {
@@ -319,11 +333,13 @@
             } => {
                 self.learn_era(now, revision.era);
                 self.terms_read = true;
-                self.apply_terms(as_of, records);
+                let is_confirmed = self.apply_terms(as_of, records);
                 self.note_missing_primaries(now);
                 let terms = &mut self.versions.terms;
                 terms.revision = terms.revision.max(revision);
-                self.confirmed.terms = self.confirmed.terms.max(Some(as_of));
+                if is_confirmed {
+                    self.confirmed.terms = self.confirmed.terms.max(Some(as_of));
+                }
             }
             ControlEvent::Term {
                 as_of,
@@ -360,6 +376,7 @@
         self.rewrite_since.clear();
         for term in self.terms.values_mut() {
             term.stored = ObjectVersion::new(era, 0);
+            term.stored_holders.clear();
         }
         true
     }
@@ -611,18 +628,23 @@
         has_changed || !gone.is_empty()
     }
 
-    fn apply_terms(&mut self, as_of: BootTime, records: Vec<VersionedTerm>) {
+    /// Applies records. Returns whether none of them shows that the store has lost one
+    /// that this host knows.
+    fn apply_terms(&mut self, as_of: BootTime, records: Vec<VersionedTerm>) -> bool {
+        let mut is_confirmed = true;
         let mut changed = Vec::new();
         for (record, version) in records {
             let revision = &mut self.versions.terms.revision;
             *revision = (*revision).max(version);
-            if self.apply_term(as_of, &record, version) {
-                changed.push((record, version));
+            match self.apply_term(as_of, &record, version) {
+                TermOutcome::Changed => changed.push((record, version)),
+                TermOutcome::Lost => is_confirmed = false,
+                TermOutcome::Known => {}
             }
         }
         let is_first = self.versions.terms.digest == UNREAD_DIGEST;
         if changed.is_empty() && !is_first {
-            return;
+            return is_confirmed;
         }
         let digest = self.digest_terms();
         let removed = Vec::new();
@@ -633,20 +655,39 @@
             ListChanges { changed, removed },
         );
         self.versions.terms.digest = digest;
+        is_confirmed
     }
 
-    /// Applies a record. Returns whether it is another one than the one before.
-    fn apply_term(&mut self, as_of: BootTime, record: &TermRecord, version: ObjectVersion) -> bool {
+    /// Applies a record.
+    fn apply_term(
+        &mut self,
+        as_of: BootTime,
+        record: &TermRecord,
+        version: ObjectVersion,
+    ) -> TermOutcome {
         let era = self.versions.era;
         let mut stored = ObjectVersion::new(era, 0);
         if version.era == era {
             stored = version;
         }
         if let Some(held) = self.terms.get_mut(&record.database) {
+            let is_later = stored > held.stored;
             held.stored = held.stored.max(stored);
             stored = held.stored;
             if !held.is_replaced_by(record, version) {
-                return false;
+                if is_later {
+                    held.stored_holders.clear();
+                }
+                // A record of an earlier era grants no leases.
+                if is_later && record.era == era {
+                    held.stored_holders.clone_from(&record.holders);
+                }
+                let is_lost = held.stored == version && version > held.version;
+                return if is_lost {
+                    TermOutcome::Lost
+                } else {
+                    TermOutcome::Known
+                };
             }
         }
         let held = self.terms.get(&record.database);
@@ -654,6 +695,7 @@
             record: record.clone(),
             version,
             stored,
+            stored_holders: Vec::new(),
             is_holder: self.is_holder_of(record),
             lease_until: as_of,
         };
@@ -673,7 +715,11 @@
         };
         let is_changed = held.is_none_or(|held| held.version != version);
         self.terms.insert(record.database.clone(), term);
-        is_changed
+        if is_changed {
+            TermOutcome::Changed
+        } else {
+            TermOutcome::Known
+        }
     }
 
     fn has_released(&self, record: &TermRecord) -> bool {
--- a/crates/proxy/src/control/plan.rs
+++ b/crates/proxy/src/control/plan.rs
@@ -7,7 +7,9 @@
 use crate::catalogue::{InstanceEntry, InstanceId, ObjectVersion, RunName, TermRecord};
 use crate::clock::BootTime;
 use crate::codec::DatabaseRole;
-use crate::control::{ControlState, MISSING_GRACE_TIME, OwnListing, RESTORE_INTERVAL, SETTLE_TIME};
+use crate::control::{
+    ControlState, MISSING_GRACE_TIME, OwnListing, QUIET_TIME, RESTORE_INTERVAL, SETTLE_TIME,
+};
 use crate::view::routes::rank_of;
 use crate::view::{TermView, TrafficView, digest_of};
 
@@ -127,6 +129,7 @@
                     }
                     self.plan_holder_join(now, &view, &term, &mut actions);
                     if !self.is_settled(now, &term) {
+                        self.rewrite_since.remove(database);
                         continue;
                     }
                     actions.extend(self.plan_settled_term(now, &view, &term));
@@ -151,20 +154,27 @@
         }
     }
 
-    /// Whether this host's turn has come to write a record again: the preferred owners of
-    /// its primary come first.
-    fn is_rewrite_due(&mut self, now: Instant, view: &TrafficView, term: &TermView) -> bool {
+    /// Whether `wait` has passed and this host's turn has come to write a record again: the
+    /// preferred owners of its primary come first.
+    fn is_rewrite_due(
+        &mut self,
+        now: Instant,
+        view: &TrafficView,
+        term: &TermView,
+        wait: Duration,
+    ) -> bool {
         let instance = self.instances.get(&term.record.primary);
         let index = instance.map_or(usize::MAX, |instance| self.owner_index(view, instance));
         let index = u32::try_from(index.min(PREFERRED_HOLDERS)).unwrap_or_default();
         let database = &term.record.database;
         let since = *self.rewrite_since.entry(database.clone()).or_insert(now);
-        now.saturating_duration_since(since) >= JOIN_STEP * index
+        now.saturating_duration_since(since) >= wait + JOIN_STEP * index
     }
 
     /// Plans what follows from a record that the store has lost, or shows from an older
-    /// copy. A run with a valid lease on the term writes it again: a later term can exist
-    /// only if the primary has stepped down, and then it takes no writes. Without one the
+    /// copy. After [`QUIET_TIME`] a run whose lease on the term is still valid writes it
+    /// again: no order of a forgotten change can follow, and a later term can exist only if
+    /// the primary has stepped down, so that it takes no writes. Without such a run the
     /// primary is changed once no other lease can be valid.
     fn plan_unconfirmed_term(
         &mut self,
@@ -172,12 +182,13 @@
         view: &TrafficView,
         term: &TermView,
     ) -> Option<ControlAction> {
-        let is_due = self.is_rewrite_due(now, view, term);
+        let is_due = self.is_rewrite_due(now, view, term, QUIET_TIME);
         let database = &term.record.database;
         if term.may_use_primary(term.record.term, BootTime::now()) {
             let mut record = term.record.clone();
             record.era = self.versions.era;
             record.is_settled = self.is_era_settled(now);
+            record.holders = term.all_holders();
             let if_version = term.stored;
             return is_due.then_some(ControlAction::WriteTerm { record, if_version });
         }
@@ -203,7 +214,8 @@
             self.rewrite_since.remove(&term.record.database);
             return None;
         }
-        if term.record.changed_by.is_some() || !self.is_rewrite_due(now, view, term) {
+        if term.record.changed_by.is_some() || !self.is_rewrite_due(now, view, term, Duration::ZERO)
+        {
             return None;
         }
         let mut record = term.record.clone();
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -13,8 +13,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::catalogue::{
-    EndpointTable, HostEntry, HostName, InstanceEntry, InstanceId, ObjectVersion, TermRecord,
-    VersionedTerm,
+    EndpointTable, HostEntry, HostName, InstanceEntry, InstanceId, ObjectVersion, RunName,
+    TermRecord, VersionedTerm,
 };
 use crate::clock::BootTime;
 use crate::control::ConfirmedTimes;
@@ -32,6 +32,8 @@
     /// Version that the store of the latest era shows, as the condition of the next
     /// write.
     pub stored: ObjectVersion,
+    /// Holders that the store's record names if it is not this one, and grants leases.
+    pub stored_holders: Vec<RunName>,
     /// Whether this run of this host is among the holders.
     pub is_holder: bool,
     /// When the lease expires; it lets a holder use the primary until then.
@@ -39,11 +41,23 @@
 }
 
 impl TermView {
-    /// Whether the record was written in the latest era of the store, `era`, and is not
-    /// just shown by an older copy.
+    /// Whether the record was written in the latest era of the store, `era`, and the store
+    /// still holds it.
     #[must_use]
-    pub const fn is_confirmed(&self, era: u64) -> bool {
-        self.version.era == era && self.record.era == era
+    pub fn is_confirmed(&self, era: u64) -> bool {
+        self.version.era == era && self.record.era == era && self.stored == self.version
+    }
+
+    /// Holders of the record, and of the one that the store shows in its place.
+    #[must_use]
+    pub fn all_holders(&self) -> Vec<RunName> {
+        let mut holders = self.record.holders.clone();
+        for run in &self.stored_holders {
+            if !holders.contains(run) {
+                holders.push(run.clone());
+            }
+        }
+        holders
     }
 
     /// Whether a record of this version stands in place of this one. Within an era the
