--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -5,6 +5,7 @@
 //! actions. The thread that runs it is in [`crate::server`]; the adapter has the
 //! tasks that carry the actions out.
 
+pub mod outdated;
 pub mod plan;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,6 +20,7 @@
     TermRecord, VersionedTerm,
 };
 use crate::clock::BootTime;
+use crate::control::outdated::OutdatedInstances;
 use crate::control::plan::ChangeReason;
 use crate::history::ListChanges;
 use crate::view::routes::RouteIndex;
@@ -193,6 +195,7 @@
     hosts_read: bool,
     released_terms: BTreeMap<DatabaseName, Term>,
     missing_since: BTreeMap<InstanceId, Instant>,
+    outdated: OutdatedInstances,
     down_instances: BTreeSet<InstanceId>,
     change_reasons: BTreeMap<DatabaseName, (ObjectVersion, ChangeReason, Instant)>,
     handed_over: BTreeMap<DatabaseName, Term>,
@@ -238,6 +241,7 @@
             hosts_read: false,
             released_terms: BTreeMap::new(),
             missing_since: BTreeMap::new(),
+            outdated: OutdatedInstances::default(),
             down_instances: BTreeSet::new(),
             change_reasons: BTreeMap::new(),
             handed_over: BTreeMap::new(),
@@ -439,10 +443,21 @@
         history
             .instances
             .record(self.versions.instances.digest, digest, changes);
+        let listed_era = self.versions.instances.revision.era;
+        if revision.era > listed_era {
+            self.outdated
+                .record_copy(now, &self.listed_instances, &list);
+        } else {
+            self.outdated
+                .record_list(now, &self.listed_instances, &list);
+        }
         self.versions.instances = ListVersion::new(digest, revision);
         self.listed_instances = Arc::new(list.clone());
         let mut instances = BTreeMap::new();
         for entry in list {
+            let Some(entry) = self.outdated.correct(entry) else {
+                continue;
+            };
             self.missing_since.remove(&entry.id);
             instances.insert(entry.id.clone(), entry);
         }
@@ -610,6 +625,11 @@
             self.refresh_holders();
             has_changed = true;
         }
+        for entry in self.outdated.take_expired(now) {
+            Arc::make_mut(&mut self.instances).insert(entry.id.clone(), entry);
+            self.index_routes();
+            has_changed = true;
+        }
         let gone: Vec<InstanceId> = self
             .missing_since
             .iter()
--- a/crates/proxy/tests/era.rs
+++ b/crates/proxy/tests/era.rs
@@ -10,6 +10,7 @@
 use fulmarrill_proxy::codec::DatabaseRole;
 use fulmarrill_proxy::control::plan::ControlAction;
 use fulmarrill_proxy::control::{ControlEvent, ControlState, LEASE_TIME, QUIET_TIME, SETTLE_TIME};
+use rstest::rstest;
 
 const OWN_RUN: &str = "h1~1";
 const OTHER_RUN: &str = "h2~1";
@@ -117,6 +118,69 @@
     assert!(state.view().instances["a"].leaving);
 }
 
+/// Guards against instances that are used again because an older copy of the store shows
+/// them as they were.
+#[rstest]
+#[case::leaving(true)]
+#[case::gone(false)]
+fn instance_that_leaves_is_not_brought_back_by_an_older_copy(#[case] is_listed: bool) {
+    let now = Instant::now();
+    let mut state = state(now);
+    let list = |is_leaving| {
+        let mut list = vec![instance("a", DatabaseRole::Primary, false)];
+        list.extend(is_listed.then(|| instance("b", DatabaseRole::Replica, is_leaving)));
+        list
+    };
+    let event = |era, revision, list| ControlEvent::Instances {
+        revision: ObjectVersion::new(era, revision),
+        as_of: None,
+        list,
+    };
+    let in_use = |state: &ControlState| {
+        let view = state.view();
+        view.instances.get("b").is_some_and(|entry| !entry.leaving)
+    };
+    state.handle(now, event(1, 101, list(true)));
+    let later = now + Duration::from_secs(3);
+    state.expire(later);
+    let mut copy = vec![
+        instance("a", DatabaseRole::Primary, false),
+        instance("b", DatabaseRole::Replica, false),
+    ];
+    // The copy is shown twice, and then by a second copy.
+    state.handle(later, event(2, 90, copy.clone()));
+    assert!(!in_use(&state));
+    state.handle(later, event(2, 91, copy.clone()));
+    state.handle(later, event(3, 90, copy.clone()));
+    assert!(!in_use(&state));
+    // Another instance of the same id is not meant.
+    copy[1].started_ms = 2;
+    state.handle(later, event(3, 91, copy.clone()));
+    assert!(in_use(&state));
+    copy[1].started_ms = 1;
+    state.handle(later, event(3, 92, copy));
+    assert!(in_use(&state));
+}
+
+/// An instance whose entry was gone for a moment is used again in the end.
+#[test]
+fn instance_that_stays_listed_after_a_copy_is_used_again() {
+    let now = Instant::now();
+    let mut state = state(now);
+    let both = state.view().listed_instances.to_vec();
+    let event = |era, revision, list| ControlEvent::Instances {
+        revision: ObjectVersion::new(era, revision),
+        as_of: None,
+        list,
+    };
+    state.handle(now, event(1, 101, both[..1].to_vec()));
+    let later = now + Duration::from_secs(3);
+    state.handle(later, event(2, 90, both));
+    assert!(!state.view().instances.contains_key("b"));
+    state.expire(later + Duration::from_secs(30));
+    assert!(state.view().instances.contains_key("b"));
+}
+
 /// Guards against two primaries: the copy shows a term that has ended.
 #[test]
 fn term_that_ended_does_not_come_back_with_an_older_copy() {
