--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -189,6 +189,9 @@
     confirmed: ConfirmedTimes,
     listed_instances: Arc<Vec<InstanceEntry>>,
     listed_hosts: Arc<Vec<HostEntry>>,
+    /// Hosts whose entries the store has lost, and until when they count as listed.
+    lost_hosts: Arc<Vec<HostEntry>>,
+    lost_until: Option<Instant>,
     versions: KnownVersions,
     history: Arc<ViewHistory>,
     terms_read: bool,
@@ -235,6 +238,8 @@
             confirmed: ConfirmedTimes::default(),
             listed_instances: Arc::default(),
             listed_hosts: Arc::default(),
+            lost_hosts: Arc::default(),
+            lost_until: None,
             versions: KnownVersions::default(),
             history: Arc::default(),
             terms_read: false,
@@ -275,6 +280,7 @@
             confirmed: self.confirmed,
             listed_instances: self.listed_instances.clone(),
             listed_hosts: self.listed_hosts.clone(),
+            lost_hosts: self.lost_hosts.clone(),
             versions: self.versions,
             history: self.history.clone(),
         }
@@ -504,6 +510,8 @@
         self.hosts_read = true;
         list.sort_by(|a, b| a.name.cmp(&b.name));
         let digest = digest_of(&list);
+        let is_later_era = revision.era > self.versions.hosts.revision.era;
+        self.note_lost_hosts(now, &list, is_later_era);
         let changes = ListChanges::between(&self.listed_hosts, &list);
         let history = Arc::make_mut(&mut self.history);
         history
@@ -512,16 +520,39 @@
         self.versions.hosts = ListVersion::new(digest, revision);
         self.listed_hosts = Arc::new(list.clone());
         self.update_listing(now, revision.era, &list);
+        self.rebuild_hosts();
+    }
+
+    /// Takes note of the hosts that the first list of a later era lacks. They have not
+    /// left: the store lost their entries, and they write them again.
+    fn note_lost_hosts(&mut self, now: Instant, list: &[HostEntry], is_later_era: bool) {
+        let is_listed = |name: &HostName| list.iter().any(|entry| entry.name == *name);
+        let mut missing = (*self.lost_hosts).clone();
+        if is_later_era {
+            let held = self.listed_hosts.iter().filter(|entry| !entry.leaving);
+            missing.extend(held.cloned());
+            self.lost_until = Some(now + SETTLE_TIME);
+        }
+        missing.retain(|entry| !is_listed(&entry.name));
+        if *self.lost_hosts != missing {
+            self.lost_hosts = Arc::new(missing);
+        }
+    }
+
+    /// Computes the hosts that take new work from the list.
+    fn rebuild_hosts(&mut self) {
         let (mut hosts, mut leaving) = (BTreeMap::new(), BTreeMap::new());
-        for entry in list {
+        for entry in self.lost_hosts.iter().chain(self.listed_hosts.iter()) {
             let map = if entry.leaving {
                 &mut leaving
             } else {
                 &mut hosts
             };
-            map.insert(entry.name.clone(), entry);
+            map.insert(entry.name.clone(), entry.clone());
         }
-        if !self.leaving {
+        if self.leaving {
+            hosts.remove(&self.own.name);
+        } else {
             leaving.remove(&self.own.name);
             hosts.insert(self.own.name.clone(), self.own.clone());
         }
@@ -625,6 +656,12 @@
             self.refresh_holders();
             has_changed = true;
         }
+        if self.lost_until.is_some_and(|until| now >= until) {
+            self.lost_until = None;
+            self.lost_hosts = Arc::default();
+            self.rebuild_hosts();
+            has_changed = true;
+        }
         for entry in self.outdated.take_expired(now) {
             Arc::make_mut(&mut self.instances).insert(entry.id.clone(), entry);
             self.index_routes();
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -122,8 +122,12 @@
 fn publish_view(context: &SharedContext, state: &ControlState) {
     let view = state.view();
     context.era.raise(view.versions.era);
-    if view.versions.hosts.digest != context.view.load().versions.hosts.digest {
-        context.spreading.set_hosts(view.listed_hosts.iter());
+    let held = context.view.load();
+    if view.versions.hosts.digest != held.versions.hosts.digest
+        || view.lost_hosts != held.lost_hosts
+    {
+        let hosts = view.listed_hosts.iter().chain(view.lost_hosts.iter());
+        context.spreading.set_hosts(hosts);
     }
     context.owners.apply_view(&view);
     context.view.publish(view);
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -125,6 +125,9 @@
     pub listed_instances: Arc<Vec<InstanceEntry>>,
     /// Hosts as the store lists them; downstream hosts get these.
     pub listed_hosts: Arc<Vec<HostEntry>>,
+    /// Hosts that the store listed before it came back from an older copy, and that have
+    /// not written their entries again yet.
+    pub lost_hosts: Arc<Vec<HostEntry>>,
     /// Versions of the configuration and of the lists in the store.
     pub versions: KnownVersions,
     /// Latest changes of these lists.
