--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -60,7 +60,9 @@
 /// an order may be sent. With the time of an order it is shorter than
 /// [`crate::control::QUIET_TIME`], so that no order of a reservation that the store has
 /// lost arrives after the term is in use again, or after an order of a later era.
-const ORDER_TIME: Duration = Duration::from_secs(1);
+const ORDER_TIME: Duration = Duration::from_millis(1500);
+/// Time between two attempts to read a reservation.
+const RESERVATION_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Bits of a fencing token that count the changes within an era of the store; the bits
 /// above them are the era. So no two eras have a token in common.
 const ERA_FENCE_BITS: u32 = 20;
@@ -96,8 +98,9 @@
     record: TermRecord,
     version: ObjectVersion,
     begun_at: BootTime,
-    /// Start of the last call to the store that showed the reservation.
-    shown_at: BootTime,
+    /// Start of the last call to the store that showed the reservation; none once it has
+    /// shown that the reservation is lost.
+    shown_at: Option<BootTime>,
     /// Whether an instance that leads a later term was promoted by an earlier change that
     /// the store knows.
     continues_change: bool,
@@ -151,7 +154,7 @@
         record: reserved,
         version,
         begun_at,
-        shown_at: begun_at,
+        shown_at: Some(begun_at),
         continues_change,
     };
     change.announce_record();
@@ -254,7 +257,7 @@
         let stepped_down = self.end_term(old_term).await;
         let floor = stepped_down.map(|status| status.received);
         let catch_up_until = Instant::now() + CATCH_UP_TIMEOUT;
-        while self.is_in_time() && self.context.era.get() == self.version.era {
+        while self.is_in_time() && self.shown_at.is_some() {
             let choosing = self.choose_instance(old_term + 1, floor, catch_up_until);
             let Some(chosen) = choosing.await else {
                 Timer::after(BUSY_POLL_INTERVAL).await;
@@ -462,20 +465,36 @@
     /// Whether the store has shown the reservation within [`ORDER_TIME`]. Asks it again if
     /// that is longer ago. A store that names no era does not lose reservations.
     async fn is_reservation_shown(&mut self) -> bool {
-        if self.version.era == 0 {
+        let known_era = &self.context.era;
+        if !known_era.is_named() {
             return true;
         }
-        if BootTime::now().since(self.shown_at) >= ORDER_TIME {
-            let asked_at = BootTime::now();
-            let held = (self.port.read_term)(self.record.database.clone()).await;
-            match held.flatten() {
-                Some((held, version)) if held == self.record && version == self.version => {
-                    self.shown_at = asked_at;
-                }
-                _ => return false,
-            }
+        if known_era.get() != self.version.era {
+            self.shown_at = None;
+        }
+        if self.shown_at.is_none() || self.is_recently_shown() {
+            return self.shown_at.is_some();
+        }
+        let asked_at = BootTime::now();
+        let Some(held) = (self.port.read_term)(self.record.database.clone()).await else {
+            Timer::after(RESERVATION_RETRY_INTERVAL).await;
+            return false;
+        };
+        let is_shown =
+            held.is_some_and(|(held, version)| held == self.record && version == self.version);
+        self.shown_at = is_shown.then_some(asked_at);
+        if !is_shown {
+            log::warn!(
+                "{}: the store lost the reservation, the change ends",
+                self.record.database
+            );
         }
-        self.context.era.get() == self.version.era
+        self.is_recently_shown() && known_era.get() == self.version.era
+    }
+
+    fn is_recently_shown(&self) -> bool {
+        let age = self.shown_at.map(|at| BootTime::now().since(at));
+        age.is_some_and(|age| age < ORDER_TIME)
     }
 
     /// Sends a promotion order and waits until the instance leads. Returns its
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -38,7 +38,7 @@
 pub const SETTLE_TIME: Duration = Duration::from_millis(12_300);
 /// Time after which a record that the store has lost may be written again: longer than an
 /// order to promote can arrive after the store has shown its reservation for the last time.
-pub const QUIET_TIME: Duration = Duration::from_secs(3);
+pub const QUIET_TIME: Duration = Duration::from_millis(3500);
 /// Least time between two writes of this host's entry after the store has lost it, and
 /// longest delay of the first.
 const RESTORE_INTERVAL: Duration = Duration::from_secs(1);
