--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -112,6 +112,7 @@
     #[must_use]
     pub fn render_metrics(&self) -> String {
         let view = self.view.load();
+        self.statements.record_store_era(view.versions.era);
         for (list, age) in list_ages(&view.confirmed, BootTime::now()) {
             if let Some(age) = age {
                 self.statements.record_list_age(list, age);
--- a/crates/proxy/src/report.rs
+++ b/crates/proxy/src/report.rs
@@ -115,6 +115,7 @@
     statements: Counter<u64>,
     times: Histogram<f64>,
     list_ages: Gauge<f64>,
+    store_era: Gauge<f64>,
     budget: Mutex<LineBudget>,
 }
 
@@ -136,6 +137,10 @@
                 "fulmarrill_confirmed_age_seconds",
                 "Time since the store is known to have held a list",
             ),
+            store_era: registry.gauge(
+                "fulmarrill_store_era",
+                "Latest known era of the store, which rises when it comes back from a copy",
+            ),
             registry,
             budget: Mutex::new(LineBudget::new(Instant::now())),
         }
@@ -147,6 +152,13 @@
         self.list_ages.record(age.as_secs_f64(), &labels);
     }
 
+    /// Sets the latest known era of the store.
+    pub fn record_store_era(&self, era: u64) {
+        // Exact up to 2^53.
+        #[expect(clippy::cast_precision_loss, reason = "eras are small")]
+        self.store_era.record(era as f64, &[]);
+    }
+
     /// Renders the metrics as Prometheus text.
     #[must_use]
     pub fn render(&self) -> String {
