--- a/crates/proxy/src/catalogue.rs
+++ b/crates/proxy/src/catalogue.rs
@@ -7,6 +7,7 @@
 use compact_str::CompactString;
 use fulmarrill_position::{DatabaseName, Term};
 use fulmarrill_schedule::RankIndex;
+use fulmarrill_spread::StoreRevision;
 use serde::{Deserialize, Serialize};
 
 use crate::codec::DatabaseRole;
@@ -20,8 +21,8 @@
 pub type HostName = CompactString;
 /// Name of one run of a host's process.
 pub type RunName = CompactString;
-/// Version of an object in the store.
-pub type ObjectVersion = u64;
+/// Version of an object in the store: the store's revision at its last change.
+pub type ObjectVersion = StoreRevision;
 
 /// How fresh the data of an endpoint's reads must be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -164,6 +165,21 @@
     pub holders: Vec<RunName>,
     /// Run that is changing the term; no host may use the primary meanwhile.
     pub changed_by: Option<RunName>,
+    /// Era of the store in which the record was written. A store that came back from
+    /// an older copy shows records of earlier eras, which may be out of date.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub era: u64,
+    /// Whether every lease of an earlier era had expired when the record was written.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_settled: bool,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// A term record with its version, as hosts send it to each other.
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -5,6 +5,7 @@
 //! actions. The thread that runs it is in [`crate::server`]; the adapter has the
 //! tasks that carry the actions out.
 
+pub mod outdated;
 pub mod plan;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,13 +13,14 @@
 use std::time::{Duration, Instant};
 
 use fulmarrill_position::{DatabaseName, Term};
-use fulmarrill_spread::{KnownVersions, ListVersion, UNREAD_DIGEST};
+use fulmarrill_spread::{KnownVersions, ListVersion, StoreRevision, UNREAD_DIGEST};
 
 use crate::catalogue::{
     EndpointTable, HostEntry, HostName, InstanceEntry, InstanceId, ObjectVersion, RunName,
     TermRecord, VersionedTerm,
 };
 use crate::clock::BootTime;
+use crate::control::outdated::OutdatedInstances;
 use crate::control::plan::ChangeReason;
 use crate::history::ListChanges;
 use crate::view::routes::RouteIndex;
@@ -29,6 +31,17 @@
 /// minus the time of one watch call. A change of primary waits this long for a
 /// holder that cannot be asked.
 pub const LEASE_TIME: Duration = Duration::from_secs(12);
+/// Time after a host has learnt of a new era of the store within which hosts may use
+/// terms, or be among their holders, of which neither this host nor the store knows:
+/// leases of the era before last that long. A margin is added, since clocks of hosts may
+/// run at different rates.
+pub const SETTLE_TIME: Duration = Duration::from_millis(12_300);
+/// Time after which a record that the store has lost may be written again: longer than an
+/// order to promote can arrive after the store has shown its reservation for the last time.
+pub const QUIET_TIME: Duration = Duration::from_millis(3500);
+/// Least time between two writes of this host's entry after the store has lost it, and
+/// longest delay of the first.
+const RESTORE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which an instance that is no longer listed is kept, and for which
 /// this run keeps its terms after it disappeared from the list. Entries that
 /// expired during an outage of the store are back within two seconds of its end.
@@ -60,7 +73,7 @@
     /// The whole list of instances was read.
     Instances {
         /// Revision of the store at which the list was current.
-        revision: u64,
+        revision: StoreRevision,
         /// When the list was requested.
         as_of: Option<BootTime>,
         /// The instances.
@@ -69,7 +82,7 @@
     /// The whole list of hosts was read.
     Hosts {
         /// Revision of the store at which the list was current.
-        revision: u64,
+        revision: StoreRevision,
         /// The hosts.
         list: Vec<HostEntry>,
     },
@@ -86,7 +99,7 @@
         /// When the list was requested.
         as_of: BootTime,
         /// Revision of the store at which the list was current.
-        revision: u64,
+        revision: StoreRevision,
         /// Records with their versions.
         records: Vec<(TermRecord, ObjectVersion)>,
     },
@@ -130,10 +143,33 @@
     /// Since this time it is no longer listed, or other hosts have marked it as
     /// leaving.
     Missing(Instant),
+    /// The store came back from an older copy that does not list it.
+    Lost,
     /// Other hosts have removed it from the list, or are about to.
     Dropped,
 }
 
+/// What a record that was read means for the one that is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TermOutcome {
+    /// It takes its place.
+    Changed,
+    /// It is the same, or was read earlier.
+    Known,
+    /// The store has lost the known one.
+    Lost,
+}
+
+/// Whether the system has run before.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum SystemStart {
+    /// It starts for the first time.
+    First,
+    /// It may have run before.
+    #[default]
+    Again,
+}
+
 /// The state that control plans from and publishes as views.
 #[derive(Debug)]
 pub struct ControlState {
@@ -146,28 +182,37 @@
     routes: Arc<RouteIndex>,
     /// How the store lists this run.
     listing: OwnListing,
+    /// Era of the last list with this run.
+    listed_era: u64,
     terms: BTreeMap<DatabaseName, TermView>,
     leader_terms: BTreeMap<InstanceId, Term>,
     confirmed: ConfirmedTimes,
     listed_instances: Arc<Vec<InstanceEntry>>,
     listed_hosts: Arc<Vec<HostEntry>>,
+    /// Hosts whose entries the store has lost, and until when they count as listed.
+    lost_hosts: Arc<Vec<HostEntry>>,
+    lost_until: Option<Instant>,
     versions: KnownVersions,
     history: Arc<ViewHistory>,
     terms_read: bool,
     hosts_read: bool,
     released_terms: BTreeMap<DatabaseName, Term>,
     missing_since: BTreeMap<InstanceId, Instant>,
+    outdated: OutdatedInstances,
     down_instances: BTreeSet<InstanceId>,
     change_reasons: BTreeMap<DatabaseName, (ObjectVersion, ChangeReason, Instant)>,
     handed_over: BTreeMap<DatabaseName, Term>,
     /// Since when this host should join the holders of a term.
     join_since: BTreeMap<DatabaseName, Instant>,
     leaving: bool,
-}
-
-/// Whether a list of an earlier revision arrives after the `held` one.
-const fn is_outdated(held: ListVersion, revision: u64) -> bool {
-    held.digest != UNREAD_DIGEST && revision < held.revision
+    start: SystemStart,
+    /// When this host learnt of the era of the store; none if nothing of an earlier era
+    /// can be in use.
+    era_since: Option<Instant>,
+    /// When this host's entry may be written again.
+    restore_at: Option<Instant>,
+    /// Since when a record should be written again.
+    rewrite_since: BTreeMap<DatabaseName, Instant>,
 }
 
 impl ControlState {
@@ -187,25 +232,41 @@
             leaving_hosts: Arc::default(),
             routes: Arc::new(RouteIndex::new(&hosts, &BTreeMap::new())),
             listing: OwnListing::default(),
+            listed_era: 0,
             terms: BTreeMap::new(),
             leader_terms: BTreeMap::new(),
             confirmed: ConfirmedTimes::default(),
             listed_instances: Arc::default(),
             listed_hosts: Arc::default(),
+            lost_hosts: Arc::default(),
+            lost_until: None,
             versions: KnownVersions::default(),
             history: Arc::default(),
             terms_read: false,
             hosts_read: false,
             released_terms: BTreeMap::new(),
             missing_since: BTreeMap::new(),
+            outdated: OutdatedInstances::default(),
             down_instances: BTreeSet::new(),
             change_reasons: BTreeMap::new(),
             handed_over: BTreeMap::new(),
             join_since: BTreeMap::new(),
             leaving: false,
+            start: SystemStart::default(),
+            era_since: None,
+            restore_at: None,
+            rewrite_since: BTreeMap::new(),
         }
     }
 
+    /// States that the whole system starts for the first time, so that nothing of an
+    /// earlier era of the store can be in use.
+    #[must_use]
+    pub const fn with_first_start(mut self) -> Self {
+        self.start = SystemStart::First;
+        self
+    }
+
     /// The view of the present state, for traffic to be routed by.
     #[must_use]
     pub fn view(&self) -> TrafficView {
@@ -219,6 +280,7 @@
             confirmed: self.confirmed,
             listed_instances: self.listed_instances.clone(),
             listed_hosts: self.listed_hosts.clone(),
+            lost_hosts: self.lost_hosts.clone(),
             versions: self.versions,
             history: self.history.clone(),
         }
@@ -244,6 +306,7 @@
                 as_of,
                 list,
             } => {
+                self.learn_era(now, revision.era);
                 if self.apply_instances(now, revision, list) {
                     self.confirmed.instances = self.confirmed.instances.max(as_of);
                 }
@@ -253,11 +316,17 @@
                     self.confirmed.configuration = self.confirmed.configuration.max(Some(as_of));
                 }
             }
-            ControlEvent::Hosts { revision, list } => self.apply_hosts(now, revision, list),
+            ControlEvent::Hosts { revision, list } => {
+                self.learn_era(now, revision.era);
+                self.apply_hosts(now, revision, list);
+            }
             ControlEvent::Confirmed {
                 versions,
                 confirmed,
-            } => self.confirm(versions, confirmed),
+            } => {
+                self.learn_era(now, versions.era);
+                self.confirm(versions, confirmed);
+            }
             ControlEvent::InstancesDown(down) => self.down_instances = down,
             ControlEvent::ChangeHandedOver { database, term } => {
                 self.handed_over.insert(database, term);
@@ -272,18 +341,22 @@
                 revision,
                 records,
             } => {
+                self.learn_era(now, revision.era);
                 self.terms_read = true;
-                self.apply_terms(as_of, records);
+                let is_confirmed = self.apply_terms(as_of, records);
                 self.note_missing_primaries(now);
                 let terms = &mut self.versions.terms;
                 terms.revision = terms.revision.max(revision);
-                self.confirmed.terms = self.confirmed.terms.max(Some(as_of));
+                if is_confirmed {
+                    self.confirmed.terms = self.confirmed.terms.max(Some(as_of));
+                }
             }
             ControlEvent::Term {
                 as_of,
                 record,
                 version,
             } => {
+                self.learn_era(now, version.era);
                 self.apply_terms(as_of, vec![(record, version)]);
                 self.note_missing_primaries(now);
             }
@@ -293,6 +366,50 @@
         }
     }
 
+    /// Takes note of an era of the store. Returns whether it is a new one.
+    pub fn learn_era(&mut self, now: Instant, era: u64) -> bool {
+        let known = self.versions.era;
+        if era <= known {
+            return false;
+        }
+        self.versions.era = era;
+        let is_new_store = known == 0 && self.terms.is_empty();
+        let is_settled = is_new_store && self.start == SystemStart::First;
+        self.era_since = (!is_settled).then_some(now);
+        if !is_new_store {
+            log::warn!("the store came back from an older copy, era {era} after {known}");
+            if self.listing == OwnListing::Unknown {
+                self.listing = OwnListing::Lost;
+            }
+        }
+        self.leader_terms.clear();
+        self.rewrite_since.clear();
+        for term in self.terms.values_mut() {
+            term.stored = ObjectVersion::new(era, 0);
+            term.stored_holders.clear();
+        }
+        true
+    }
+
+    /// Whether every lease of an earlier era of the store has expired.
+    fn is_era_settled(&self, now: Instant) -> bool {
+        let since = self.era_since;
+        since.is_none_or(|since| now.saturating_duration_since(since) >= SETTLE_TIME)
+    }
+
+    /// Whether the holders of this term are known, and no other term can be in use.
+    fn is_settled(&self, now: Instant, term: &TermView) -> bool {
+        let is_confirmed = term.is_confirmed(self.versions.era);
+        (is_confirmed && term.record.is_settled) || self.is_era_settled(now)
+    }
+
+    /// Whether a list of this revision arrives late: it is of an earlier era than the
+    /// known one, or was read before the `held` list.
+    fn is_outdated(&self, held: ListVersion, revision: StoreRevision) -> bool {
+        revision.era < self.versions.era
+            || (held.digest != UNREAD_DIGEST && revision < held.revision)
+    }
+
     /// Records until when the store is known to have held these versions. Leases are
     /// extended if the terms are the same.
     fn confirm(&mut self, versions: KnownVersions, confirmed: ConfirmedTimes) {
@@ -318,10 +435,10 @@
     fn apply_instances(
         &mut self,
         now: Instant,
-        revision: u64,
+        revision: StoreRevision,
         mut list: Vec<InstanceEntry>,
     ) -> bool {
-        if is_outdated(self.versions.instances, revision) {
+        if self.is_outdated(self.versions.instances, revision) {
             return false;
         }
         // All hosts use the same order, since they compare digests of lists.
@@ -332,10 +449,21 @@
         history
             .instances
             .record(self.versions.instances.digest, digest, changes);
+        let listed_era = self.versions.instances.revision.era;
+        if revision.era > listed_era {
+            self.outdated
+                .record_copy(now, &self.listed_instances, &list);
+        } else {
+            self.outdated
+                .record_list(now, &self.listed_instances, &list);
+        }
         self.versions.instances = ListVersion::new(digest, revision);
         self.listed_instances = Arc::new(list.clone());
         let mut instances = BTreeMap::new();
         for entry in list {
+            let Some(entry) = self.outdated.correct(entry) else {
+                continue;
+            };
             self.missing_since.remove(&entry.id);
             instances.insert(entry.id.clone(), entry);
         }
@@ -375,13 +503,15 @@
 
     /// Applies a list of hosts. This host counts as taking new work until it is told
     /// to leave, however it is listed.
-    fn apply_hosts(&mut self, now: Instant, revision: u64, mut list: Vec<HostEntry>) {
-        if is_outdated(self.versions.hosts, revision) {
+    fn apply_hosts(&mut self, now: Instant, revision: StoreRevision, mut list: Vec<HostEntry>) {
+        if self.is_outdated(self.versions.hosts, revision) {
             return;
         }
         self.hosts_read = true;
         list.sort_by(|a, b| a.name.cmp(&b.name));
         let digest = digest_of(&list);
+        let is_later_era = revision.era > self.versions.hosts.revision.era;
+        self.note_lost_hosts(now, &list, is_later_era);
         let changes = ListChanges::between(&self.listed_hosts, &list);
         let history = Arc::make_mut(&mut self.history);
         history
@@ -389,17 +519,40 @@
             .record(self.versions.hosts.digest, digest, changes);
         self.versions.hosts = ListVersion::new(digest, revision);
         self.listed_hosts = Arc::new(list.clone());
-        self.update_listing(now, &list);
+        self.update_listing(now, revision.era, &list);
+        self.rebuild_hosts();
+    }
+
+    /// Takes note of the hosts that the first list of a later era lacks. They have not
+    /// left: the store lost their entries, and they write them again.
+    fn note_lost_hosts(&mut self, now: Instant, list: &[HostEntry], is_later_era: bool) {
+        let is_listed = |name: &HostName| list.iter().any(|entry| entry.name == *name);
+        let mut missing = (*self.lost_hosts).clone();
+        if is_later_era {
+            let held = self.listed_hosts.iter().filter(|entry| !entry.leaving);
+            missing.extend(held.cloned());
+            self.lost_until = Some(now + SETTLE_TIME);
+        }
+        missing.retain(|entry| !is_listed(&entry.name));
+        if *self.lost_hosts != missing {
+            self.lost_hosts = Arc::new(missing);
+        }
+    }
+
+    /// Computes the hosts that take new work from the list.
+    fn rebuild_hosts(&mut self) {
         let (mut hosts, mut leaving) = (BTreeMap::new(), BTreeMap::new());
-        for entry in list {
+        for entry in self.lost_hosts.iter().chain(self.listed_hosts.iter()) {
             let map = if entry.leaving {
                 &mut leaving
             } else {
                 &mut hosts
             };
-            map.insert(entry.name.clone(), entry);
+            map.insert(entry.name.clone(), entry.clone());
         }
-        if !self.leaving {
+        if self.leaving {
+            hosts.remove(&self.own.name);
+        } else {
             leaving.remove(&self.own.name);
             hosts.insert(self.own.name.clone(), self.own.clone());
         }
@@ -416,16 +569,23 @@
 
     /// Updates how this run is listed. The list may come from a host that is
     /// slightly behind, so a list without this run does not at once count as its
-    /// removal.
-    fn update_listing(&mut self, now: Instant, list: &[HostEntry]) {
+    /// removal. One of a later era than the last list with this run is no removal: the
+    /// store has lost the entry.
+    fn update_listing(&mut self, now: Instant, era: u64, list: &[HostEntry]) {
         let own = list.iter().find(|entry| entry.run == self.own.run);
         let is_listed = own.is_some_and(|entry| self.leaving || !entry.leaving);
+        let is_later_era = era > self.listed_era;
         self.listing = match self.listing {
             _ if is_listed => OwnListing::Listed,
+            OwnListing::Listed if is_later_era && own.is_none() => OwnListing::Lost,
             OwnListing::Listed => OwnListing::Missing(now),
-            OwnListing::Unknown if own.is_some() => OwnListing::Missing(now),
+            OwnListing::Unknown | OwnListing::Lost if own.is_some() => OwnListing::Missing(now),
             other => other,
         };
+        if is_listed {
+            self.listed_era = era;
+            self.restore_at = None;
+        }
         self.refresh_holders();
     }
 
@@ -473,7 +633,9 @@
         }
         let lease_until = as_of.after(LEASE_TIME);
         for term in self.terms.values_mut() {
-            term.lease_until = term.lease_until.max(lease_until);
+            if term.is_confirmed(self.versions.era) {
+                term.lease_until = term.lease_until.max(lease_until);
+            }
         }
         self.confirmed.terms = self.confirmed.terms.max(Some(as_of));
     }
@@ -494,6 +656,17 @@
             self.refresh_holders();
             has_changed = true;
         }
+        if self.lost_until.is_some_and(|until| now >= until) {
+            self.lost_until = None;
+            self.lost_hosts = Arc::default();
+            self.rebuild_hosts();
+            has_changed = true;
+        }
+        for entry in self.outdated.take_expired(now) {
+            Arc::make_mut(&mut self.instances).insert(entry.id.clone(), entry);
+            self.index_routes();
+            has_changed = true;
+        }
         let gone: Vec<InstanceId> = self
             .missing_since
             .iter()
@@ -512,20 +685,23 @@
         has_changed || !gone.is_empty()
     }
 
-    fn apply_terms(&mut self, as_of: BootTime, records: Vec<VersionedTerm>) {
+    /// Applies records. Returns whether none of them shows that the store has lost one
+    /// that this host knows.
+    fn apply_terms(&mut self, as_of: BootTime, records: Vec<VersionedTerm>) -> bool {
+        let mut is_confirmed = true;
         let mut changed = Vec::new();
         for (record, version) in records {
             let revision = &mut self.versions.terms.revision;
             *revision = (*revision).max(version);
-            let held = self.terms.get(&record.database);
-            if held.is_none_or(|held| held.version < version) {
-                changed.push((record.clone(), version));
+            match self.apply_term(as_of, &record, version) {
+                TermOutcome::Changed => changed.push((record, version)),
+                TermOutcome::Lost => is_confirmed = false,
+                TermOutcome::Known => {}
             }
-            self.apply_term(as_of, record, version);
         }
         let is_first = self.versions.terms.digest == UNREAD_DIGEST;
         if changed.is_empty() && !is_first {
-            return;
+            return is_confirmed;
         }
         let digest = self.digest_terms();
         let removed = Vec::new();
@@ -536,29 +712,71 @@
             ListChanges { changed, removed },
         );
         self.versions.terms.digest = digest;
+        is_confirmed
     }
 
-    fn apply_term(&mut self, as_of: BootTime, record: TermRecord, version: ObjectVersion) {
-        if let Some(held) = self.terms.get(&record.database)
-            && version < held.version
-        {
-            return;
+    /// Applies a record.
+    fn apply_term(
+        &mut self,
+        as_of: BootTime,
+        record: &TermRecord,
+        version: ObjectVersion,
+    ) -> TermOutcome {
+        let era = self.versions.era;
+        let mut stored = ObjectVersion::new(era, 0);
+        if version.era == era {
+            stored = version;
+        }
+        if let Some(held) = self.terms.get_mut(&record.database) {
+            let is_later = stored > held.stored;
+            held.stored = held.stored.max(stored);
+            stored = held.stored;
+            if !held.is_replaced_by(record, version) {
+                if is_later {
+                    held.stored_holders.clear();
+                }
+                // A record of an earlier era grants no leases.
+                if is_later && record.era == era {
+                    held.stored_holders.clone_from(&record.holders);
+                }
+                let is_lost = held.stored == version && version > held.version;
+                return if is_lost {
+                    TermOutcome::Lost
+                } else {
+                    TermOutcome::Known
+                };
+            }
         }
-        let is_holder = self.is_holder_of(&record);
         let held = self.terms.get(&record.database);
-        let lease_until = match held {
-            Some(held) if !self.may_extend_leases() => held.lease_until,
+        let mut term = TermView {
+            record: record.clone(),
+            version,
+            stored,
+            stored_holders: Vec::new(),
+            is_holder: self.is_holder_of(record),
+            lease_until: as_of,
+        };
+        let may_extend = self.may_extend_leases();
+        term.lease_until = match held {
+            // Leases of an earlier era run on, and a record of an older copy grants none.
+            Some(held) if !term.is_confirmed(era) => {
+                let is_same = held.record.term == record.term;
+                let is_same = is_same && held.record.primary == record.primary;
+                if is_same { held.lease_until } else { as_of }
+            }
+            None if !term.is_confirmed(era) => as_of,
+            Some(held) if !may_extend => held.lease_until,
             Some(held) if held.version == version => held.lease_until.max(as_of.after(LEASE_TIME)),
-            _ if !self.may_extend_leases() => as_of,
+            _ if !may_extend => as_of,
             _ => as_of.after(LEASE_TIME),
         };
-        let term = TermView {
-            record,
-            version,
-            is_holder,
-            lease_until,
-        };
-        self.terms.insert(term.record.database.clone(), term);
+        let is_changed = held.is_none_or(|held| held.version != version);
+        self.terms.insert(record.database.clone(), term);
+        if is_changed {
+            TermOutcome::Changed
+        } else {
+            TermOutcome::Known
+        }
     }
 
     fn has_released(&self, record: &TermRecord) -> bool {
--- a/crates/proxy/src/report.rs
+++ b/crates/proxy/src/report.rs
@@ -117,6 +117,7 @@
     list_ages: Gauge<f64>,
     malformed: Counter<u64>,
     copied: Counter<u64>,
+    store_era: Gauge<f64>,
     budget: Mutex<LineBudget>,
 }
 
@@ -146,6 +147,10 @@
                 "fulmarrill_copied_answers",
                 "Answers that an instance gave twice",
             ),
+            store_era: registry.gauge(
+                "fulmarrill_store_era",
+                "Latest known era of the store, which rises when it comes back from a copy",
+            ),
             registry,
             budget: Mutex::new(LineBudget::new(Instant::now())),
         }
@@ -168,6 +173,13 @@
         self.copied.add(count, &labels);
     }
 
+    /// Sets the latest known era of the store.
+    pub fn record_store_era(&self, era: u64) {
+        // Exact up to 2^53.
+        #[expect(clippy::cast_precision_loss, reason = "eras are small")]
+        self.store_era.record(era as f64, &[]);
+    }
+
     /// Renders the metrics as Prometheus text.
     #[must_use]
     pub fn render(&self) -> String {
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -105,6 +105,9 @@
             Err(RecvTimeoutError::Disconnected) => return,
         }
         let now = Instant::now();
+        if state.learn_era(now, context.era.get()) {
+            publish_view(context, &state);
+        }
         issued.retain(|(_, retry_at)| now < *retry_at);
         for action in state.plan(now) {
             if issued.iter().any(|(other, _)| *other == action) {
@@ -118,8 +121,13 @@
 
 fn publish_view(context: &SharedContext, state: &ControlState) {
     let view = state.view();
-    if view.versions.hosts.digest != context.view.load().versions.hosts.digest {
-        context.spreading.set_hosts(view.listed_hosts.iter());
+    context.era.raise(view.versions.era);
+    let held = context.view.load();
+    if view.versions.hosts.digest != held.versions.hosts.digest
+        || view.lost_hosts != held.lost_hosts
+    {
+        let hosts = view.listed_hosts.iter().chain(view.lost_hosts.iter());
+        context.spreading.set_hosts(hosts);
     }
     context.owners.apply_view(&view);
     context.view.publish(view);
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -13,8 +13,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::catalogue::{
-    EndpointTable, HostEntry, HostName, InstanceEntry, InstanceId, ObjectVersion, TermRecord,
-    VersionedTerm,
+    EndpointTable, HostEntry, HostName, InstanceEntry, InstanceId, ObjectVersion, RunName,
+    TermRecord, VersionedTerm,
 };
 use crate::clock::BootTime;
 use crate::control::ConfirmedTimes;
@@ -26,8 +26,14 @@
 pub struct TermView {
     /// The record.
     pub record: TermRecord,
-    /// Its version in the store.
+    /// Its version in the store when it was read; of an earlier era if the store has
+    /// lost it.
     pub version: ObjectVersion,
+    /// Version that the store of the latest era shows, as the condition of the next
+    /// write.
+    pub stored: ObjectVersion,
+    /// Holders that the store's record names if it is not this one, and grants leases.
+    pub stored_holders: Vec<RunName>,
     /// Whether this run of this host is among the holders.
     pub is_holder: bool,
     /// When the lease expires; it lets a holder use the primary until then.
@@ -35,6 +41,40 @@
 }
 
 impl TermView {
+    /// Whether the record was written in the latest era of the store, `era`, and the store
+    /// still holds it.
+    #[must_use]
+    pub fn is_confirmed(&self, era: u64) -> bool {
+        self.version.era == era && self.record.era == era && self.stored == self.version
+    }
+
+    /// Holders of the record, and of the one that the store shows in its place.
+    #[must_use]
+    pub fn all_holders(&self) -> Vec<RunName> {
+        let mut holders = self.record.holders.clone();
+        for run in &self.stored_holders {
+            if !holders.contains(run) {
+                holders.push(run.clone());
+            }
+        }
+        holders
+    }
+
+    /// Whether a record of this version stands in place of this one. Within an era the
+    /// version decides. Across eras a term or a reservation is never taken back; among
+    /// equals the one that was written later stands.
+    #[must_use]
+    pub fn is_replaced_by(&self, record: &TermRecord, version: ObjectVersion) -> bool {
+        if version.era == self.version.era && record.era == self.record.era {
+            return version >= self.version;
+        }
+        let rank = |record: &TermRecord, version: ObjectVersion| {
+            let written_at = (record.era, version.revision);
+            (record.term, record.fence, written_at, version)
+        };
+        rank(record, version) >= rank(&self.record, self.version)
+    }
+
     /// Whether this host may use the primary of `term` now.
     #[must_use]
     pub fn may_use_primary(&self, term: Term, now: BootTime) -> bool {
@@ -85,6 +125,9 @@
     pub listed_instances: Arc<Vec<InstanceEntry>>,
     /// Hosts as the store lists them; downstream hosts get these.
     pub listed_hosts: Arc<Vec<HostEntry>>,
+    /// Hosts that the store listed before it came back from an older copy, and that have
+    /// not written their entries again yet.
+    pub lost_hosts: Arc<Vec<HostEntry>>,
     /// Versions of the configuration and of the lists in the store.
     pub versions: KnownVersions,
     /// Latest changes of these lists.
