--- a/crates/proxy/src/catalogue.rs
+++ b/crates/proxy/src/catalogue.rs
@@ -182,6 +182,19 @@
     *number == 0
 }
 
+impl TermRecord {
+    /// Adds the holders of a record that this one is written over, and raises the fencing
+    /// token to that of it.
+    pub fn add_displaced(&mut self, displaced: &Self) {
+        self.fence = self.fence.max(displaced.fence);
+        for run in &displaced.holders {
+            if !self.holders.contains(run) {
+                self.holders.push(run.clone());
+            }
+        }
+    }
+}
+
 /// A term record with its version, as hosts send it to each other.
 pub type VersionedTerm = (TermRecord, ObjectVersion);
 
--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -138,7 +138,10 @@
     let mut record = record.clone();
     if is_lost {
         // Leases of earlier eras have expired.
-        record.holders.clone_from(&term.stored_holders);
+        record.holders.clear();
+        if let Some(displacing) = &term.displacing {
+            record.add_displaced(displacing);
+        }
     }
     record.is_settled = !is_lost && view.versions.era > 0;
     let continues_change = view.versions.era == 0 || reason == ChangeReason::Abandoned;
@@ -200,17 +203,14 @@
         }
         if (held.term, held.fence) < (record.term, record.fence) {
             // The store has lost what this host knows, and shows an older record.
-            if held.era == era && held.changed_by.is_some() {
-                // Its writer may still send an order with the fence of that record.
-                return None;
-            }
-            record.fence = record.fence.max(held.fence);
-            version = held_version;
-            for run in held.holders {
-                if held.era == era && !record.holders.contains(&run) {
-                    record.holders.push(run);
+            if held.era == era {
+                if held.changed_by.is_some() {
+                    // A host that did not know this record changes the primary.
+                    return None;
                 }
+                record.add_displaced(&held);
             }
+            version = held_version;
             continue;
         }
         let is_same_primary = held.primary == record.primary;
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -211,8 +211,8 @@
     era_since: Option<Instant>,
     /// When this host's entry may be written again.
     restore_at: Option<Instant>,
-    /// Since when a record should be written again.
-    rewrite_since: BTreeMap<DatabaseName, Instant>,
+    /// Since when a record should be written again, and over which version.
+    rewrite_since: BTreeMap<DatabaseName, (ObjectVersion, Instant)>,
 }
 
 impl ControlState {
@@ -386,7 +386,7 @@
         self.rewrite_since.clear();
         for term in self.terms.values_mut() {
             term.stored = ObjectVersion::new(era, 0);
-            term.stored_holders.clear();
+            term.displacing = None;
         }
         true
     }
@@ -733,11 +733,8 @@
             stored = held.stored;
             if !held.is_replaced_by(record, version) {
                 if is_later {
-                    held.stored_holders.clear();
-                }
-                // A record of an earlier era grants no leases.
-                if is_later && record.era == era {
-                    held.stored_holders.clone_from(&record.holders);
+                    // A record of an earlier era grants no leases and reserves nothing.
+                    held.displacing = (record.era == era).then(|| record.clone());
                 }
                 let is_lost = held.stored == version && version > held.version;
                 return if is_lost {
@@ -752,7 +749,7 @@
             record: record.clone(),
             version,
             stored,
-            stored_holders: Vec::new(),
+            displacing: None,
             is_holder: self.is_holder_of(record),
             lease_until: as_of,
         };
--- a/crates/proxy/src/control/plan.rs
+++ b/crates/proxy/src/control/plan.rs
@@ -167,7 +167,12 @@
         let index = instance.map_or(usize::MAX, |instance| self.owner_index(view, instance));
         let index = u32::try_from(index.min(PREFERRED_HOLDERS)).unwrap_or_default();
         let database = &term.record.database;
-        let since = *self.rewrite_since.entry(database.clone()).or_insert(now);
+        let since = match self.rewrite_since.get(database) {
+            Some((stored, since)) if *stored == term.stored => *since,
+            _ => now,
+        };
+        self.rewrite_since
+            .insert(database.clone(), (term.stored, since));
         now.saturating_duration_since(since) >= wait + JOIN_STEP * index
     }
 
@@ -184,17 +189,22 @@
     ) -> Option<ControlAction> {
         let is_due = self.is_rewrite_due(now, view, term, QUIET_TIME);
         let database = &term.record.database;
+        let (_, since) = *self.rewrite_since.get(database)?;
+        let waited = now.saturating_duration_since(since);
+        // A host that did not know this record changes the primary.
+        let displacing = term.displacing.as_ref();
+        let is_reserved = displacing.is_some_and(|record| record.changed_by.is_some());
+        if is_reserved && waited < ABANDONED_CHANGE_TIMEOUT {
+            return None;
+        }
         if term.may_use_primary(term.record.term, BootTime::now()) {
-            let mut record = term.record.clone();
+            let mut record = term.merged_record();
             record.era = self.versions.era;
             record.is_settled = self.is_era_settled(now);
-            record.holders = term.all_holders();
             let if_version = term.stored;
             return is_due.then_some(ControlAction::WriteTerm { record, if_version });
         }
         let delay = self.election_delay(database);
-        let since = *self.rewrite_since.get(database)?;
-        let waited = now.saturating_duration_since(since);
         let is_elected = self.is_era_settled(now) && waited >= SETTLE_TIME + delay;
         is_elected.then(|| ControlAction::ChangePrimary {
             database: database.clone(),
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -13,8 +13,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::catalogue::{
-    EndpointTable, HostEntry, HostName, InstanceEntry, InstanceId, ObjectVersion, RunName,
-    TermRecord, VersionedTerm,
+    EndpointTable, HostEntry, HostName, InstanceEntry, InstanceId, ObjectVersion, TermRecord,
+    VersionedTerm,
 };
 use crate::clock::BootTime;
 use crate::control::ConfirmedTimes;
@@ -32,8 +32,8 @@
     /// Version that the store of the latest era shows, as the condition of the next
     /// write.
     pub stored: ObjectVersion,
-    /// Holders that the store's record names if it is not this one, and grants leases.
-    pub stored_holders: Vec<RunName>,
+    /// Record of the latest era that the store shows in place of this one.
+    pub displacing: Option<TermRecord>,
     /// Whether this run of this host is among the holders.
     pub is_holder: bool,
     /// When the lease expires; it lets a holder use the primary until then.
@@ -48,16 +48,15 @@
         self.version.era == era && self.record.era == era && self.stored == self.version
     }
 
-    /// Holders of the record, and of the one that the store shows in its place.
+    /// The record as it may be written over the one that the store shows: with the holders
+    /// and at least the fencing token of both.
     #[must_use]
-    pub fn all_holders(&self) -> Vec<RunName> {
-        let mut holders = self.record.holders.clone();
-        for run in &self.stored_holders {
-            if !holders.contains(run) {
-                holders.push(run.clone());
-            }
+    pub fn merged_record(&self) -> TermRecord {
+        let mut record = self.record.clone();
+        if let Some(displacing) = &self.displacing {
+            record.add_displaced(displacing);
         }
-        holders
+        record
     }
 
     /// Whether a record of this version stands in place of this one. Within an era the
--- a/crates/proxy/tests/era.rs
+++ b/crates/proxy/tests/era.rs
@@ -8,7 +8,7 @@
 };
 use fulmarrill_proxy::clock::BootTime;
 use fulmarrill_proxy::codec::DatabaseRole;
-use fulmarrill_proxy::control::plan::ControlAction;
+use fulmarrill_proxy::control::plan::{ABANDONED_CHANGE_TIMEOUT, ControlAction};
 use fulmarrill_proxy::control::{ControlEvent, ControlState, LEASE_TIME, QUIET_TIME, SETTLE_TIME};
 use rstest::rstest;
 
@@ -321,3 +321,24 @@
     }
     assert!(is_planned);
 }
+
+/// Guards against a change of primary over another one in the same era, by a host that
+/// knows a later term, and against its fencing token a second time.
+#[test]
+fn reservation_of_a_host_that_knew_less_is_left_alone_until_it_is_abandoned() {
+    let now = Instant::now();
+    let mut state = state(now);
+    let mut reserved = record(2, "a", 2);
+    reserved.fence = 700;
+    reserved.changed_by = Some(OTHER_RUN.into());
+    state.handle(now, hosts_event(ObjectVersion::new(2, 95), &["h1", "h2"]));
+    state.handle(now, terms_event(ObjectVersion::new(2, 95), reserved));
+    for step in 0..39 {
+        let actions = state.plan(now + Duration::from_millis(500) * step);
+        assert_eq!(actions, [], "after {step} steps");
+    }
+    let merged = state.view().terms["orders"].merged_record();
+    assert_eq!((merged.term, merged.fence), (3, 700));
+    let abandoned_at = now + ABANDONED_CHANGE_TIMEOUT;
+    assert_ne!(state.plan(abandoned_at + Duration::from_secs(1)), []);
+}
