Do not say that a read has not run if an earlier attempt may have run it

What callers saw: BUSY for a read that ran at one instance, whose answer was lost or could not be told from a copy, and that the next instances refused.

Cause: only the last attempt's answer was told. Evidence: read_that_ran_and_is_refused_elsewhere_is_not_said_to_have_not_run failed before with 'ERR BUSY too much work waits' and passes now. The outcome is told as unknown (TIMEOUT); a caller may repeat a read after that as well.

--- a/crates/proxy/src/entry/reads.rs
+++ b/crates/proxy/src/entry/reads.rs
@@ -157,6 +157,7 @@
 pub async fn run_read(context: &SharedContext, request: WorkRequest) -> RoutedAnswer {
     let mut result = None;
     let mut is_age_unknown = false;
+    let mut may_have_run = false;
     for attempt in 0..=MAX_REPLICA_TRIES {
         let view = context.view.load();
         let primary = view.primary(&request.database);
@@ -208,13 +209,15 @@
             WorkAnswer::NotRun(_) | WorkAnswer::Unknown => UNREACHABLE_BACKOFF,
             _ => return routed,
         };
+        may_have_run |= routed.answer == WorkAnswer::Unknown;
         let now = Instant::now();
         context.entry.avoid(&chosen.id, now + avoid_time);
         let should_retry = now < request.deadline && !at_primary;
         if !should_retry {
-            return routed;
+            return routed.after_attempt(may_have_run);
         }
         result = Some(routed);
     }
-    result.unwrap_or_else(|| RoutedAnswer::not_run(NotRunReason::NotPrimary))
+    let result = result.unwrap_or_else(|| RoutedAnswer::not_run(NotRunReason::NotPrimary));
+    result.after_attempt(may_have_run)
 }
--- a/crates/proxy/src/entry/router.rs
+++ b/crates/proxy/src/entry/router.rs
@@ -50,6 +50,16 @@
             floor: None,
         }
     }
+
+    /// Returns the answer to work that an earlier attempt may have run. It is not said
+    /// to have not run because a later attempt was refused.
+    #[must_use]
+    pub fn after_attempt(mut self, may_have_run: bool) -> Self {
+        if may_have_run && matches!(self.answer, WorkAnswer::NotRun(_)) {
+            self.answer = WorkAnswer::Unknown;
+        }
+        self
+    }
 }
 
 /// Sends work to the owner of `instance`, or to the next host in the order of
--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -644,6 +644,7 @@
     mut request: WorkRequest,
     reads_only: bool,
 ) -> RoutedAnswer {
+    let mut may_have_run = false;
     loop {
         let listener = context.view.listen();
         let view = context.view.load();
@@ -660,9 +661,10 @@
             WorkAnswer::Unknown => reads_only,
             _ => false,
         };
+        may_have_run |= routed.answer == WorkAnswer::Unknown;
         let now = Instant::now();
         if !should_retry || now + RETRY_DELAY >= request.deadline {
-            return routed;
+            return routed.after_attempt(may_have_run);
         }
         context.view.wait(listener, now + RETRY_DELAY).await;
     }
