Read-through: traits of an instance in place of habits; a malformed answer is logged

Names and one log line. An exchange that ends because two answers cannot be told apart is the only sign of an unknown outcome of this kind, so it is a warning with the id of the statement, not a debug line.

--- a/crates/proxy/src/owner/connection.rs
+++ b/crates/proxy/src/owner/connection.rs
@@ -18,7 +18,7 @@
 use crate::codec::{
     CodecError, DatabaseCodec, DatabaseCommand, DatabaseMessage, DatabaseStatus, ErrorKind,
 };
-use crate::owner::pairing::{AnswerHabits, AnswerHistory, ExchangeStep, PendingExchange};
+use crate::owner::pairing::{AnswerHistory, ExchangeStep, InstanceTraits, PendingExchange};
 use crate::statement::TransactionState;
 
 /// Size of one read from the socket.
@@ -166,7 +166,7 @@
 impl DatabaseConnection {
     /// Connects to an instance. The startup message names its database and id, so
     /// that another instance at the address can refuse. All connections to an instance
-    /// share `habits`.
+    /// share `traits`.
     ///
     /// # Errors
     ///
@@ -174,7 +174,7 @@
     pub async fn connect(
         codec: DatabaseCodec,
         instance: &InstanceEntry,
-        habits: Arc<AnswerHabits>,
+        traits: Arc<InstanceTraits>,
         deadline: Instant,
     ) -> Result<Self, ConnectionError> {
         let setup = async {
@@ -192,7 +192,7 @@
                 input: BytesMut::new(),
                 output: Vec::new(),
                 partial: PartialAnswer::default(),
-                history: Box::new(AnswerHistory::new(habits)),
+                history: Box::new(AnswerHistory::new(traits)),
                 point: None,
             };
             (codec.encode_startup)(&instance.database, &instance.id, &mut connection.output);
--- a/crates/proxy/src/owner/instance.rs
+++ b/crates/proxy/src/owner/instance.rs
@@ -689,7 +689,15 @@
     }
 
     fn exchange_failed(&self, error: &ConnectionError, request: &WorkRequest) -> OwnerReport {
-        log::debug!("{}: {error}", self.instance.id);
+        if matches!(error, ConnectionError::Malformed(_)) {
+            log::warn!(
+                "{}: request {}: {error}",
+                self.instance.id,
+                request.statement.id()
+            );
+        } else {
+            log::debug!("{}: {error}", self.instance.id);
+        }
         if matches!(error, ConnectionError::TooLong) {
             return OwnerReport::too_long(request);
         }
--- a/crates/proxy/src/owner/pairing.rs
+++ b/crates/proxy/src/owner/pairing.rs
@@ -43,7 +43,7 @@
 
 /// What all connections to an instance have shown of its answers.
 #[derive(Debug, Default)]
-pub struct AnswerHabits {
+pub struct InstanceTraits {
     /// Hash of the first proof.
     first_proof: OnceLock<u64>,
     /// Whether the instance gives different proofs.
@@ -52,7 +52,7 @@
     cautious_until: Mutex<Option<Instant>>,
 }
 
-impl AnswerHabits {
+impl InstanceTraits {
     /// Counts answers of earlier connections.
     #[must_use]
     pub fn with_answers(self, answers: u64) -> Self {
@@ -119,7 +119,7 @@
 /// Answers that a connection has given, and copies of which may follow.
 #[derive(Debug)]
 pub struct AnswerHistory {
-    habits: Arc<AnswerHabits>,
+    traits: Arc<InstanceTraits>,
     proofs: VecDeque<GivenProof>,
     errors: Vec<GivenError>,
     /// Hashes of the rows of statuses.
@@ -131,11 +131,11 @@
 }
 
 impl AnswerHistory {
-    /// Creates the history of a new connection to an instance with these habits.
+    /// Creates the history of a new connection to an instance with these traits.
     #[must_use]
-    pub fn new(habits: Arc<AnswerHabits>) -> Self {
+    pub fn new(traits: Arc<InstanceTraits>) -> Self {
         Self {
-            habits,
+            traits,
             proofs: VecDeque::new(),
             errors: Vec::new(),
             statuses: Vec::new(),
@@ -155,7 +155,7 @@
     /// Counts an answer that no command awaits.
     pub fn count_copy(&mut self, now: Instant) {
         self.copies += 1;
-        self.habits.record_copy(now);
+        self.traits.record_copy(now);
     }
 
     /// Returns how many statements markers have prepared since the last reset.
@@ -175,7 +175,7 @@
     pub fn is_reusable(&self, now: Instant) -> bool {
         let mut errors = self.errors.iter();
         let has_error = errors.any(|error| now < error.at + COPY_TIMEOUT);
-        self.copies == 0 && !(has_error && self.habits.is_cautious(now))
+        self.copies == 0 && !(has_error && self.traits.is_cautious(now))
     }
 
     fn find_proof(&self, proof: &str) -> Option<GivenProof> {
@@ -203,7 +203,7 @@
     }
 
     fn record(&mut self, command: &DatabaseCommand, answer: &DatabaseAnswer, now: Instant) {
-        self.habits.answers.fetch_add(1, Ordering::Relaxed);
+        self.traits.answers.fetch_add(1, Ordering::Relaxed);
         self.record_proof(answer);
         match &answer.outcome {
             Ok(_) if command.answers_status() => {
@@ -237,7 +237,7 @@
             return;
         }
         let proof = hash_of(&proof.as_str());
-        self.habits.record_proof(proof);
+        self.traits.record_proof(proof);
         if self.proofs.len() == PROOFS_MAX {
             self.proofs.pop_front();
         }
@@ -323,12 +323,12 @@
             return match proof {
                 None => AnswerFit::No,
                 Some(proof) if self.find_proof(proof).is_none() => AnswerFit::Sure,
-                Some(_) if self.habits.has_distinct_proofs() => AnswerFit::No,
+                Some(_) if self.traits.has_distinct_proofs() => AnswerFit::No,
                 // The instance may give the same proof for each statement.
                 Some(_) => AnswerFit::Doubtful,
             };
         }
-        if proof.is_some() && self.habits.has_distinct_proofs() {
+        if proof.is_some() && self.traits.has_distinct_proofs() {
             return AnswerFit::No;
         }
         if command.answers_status() {
@@ -347,7 +347,7 @@
             return AnswerFit::No;
         }
         let is_begin = matches!(command, DatabaseCommand::Begin { .. });
-        if is_begin && self.has_opened(now) && self.habits.is_cautious(now) {
+        if is_begin && self.has_opened(now) && self.traits.is_cautious(now) {
             AnswerFit::Doubtful
         } else {
             AnswerFit::Sure
--- a/crates/proxy/src/owner/pool.rs
+++ b/crates/proxy/src/owner/pool.rs
@@ -12,7 +12,7 @@
 use crate::catalogue::InstanceEntry;
 use crate::codec::{DatabaseCodec, DatabaseCommand};
 use crate::owner::connection::{ConnectionError, DatabaseConnection};
-use crate::owner::pairing::AnswerHabits;
+use crate::owner::pairing::InstanceTraits;
 use crate::statement::{PreparedShape, SessionValues};
 
 /// Timeout for setting up a connection: several times what an instance takes.
@@ -100,7 +100,7 @@
 pub struct ConnectionPool {
     codec: DatabaseCodec,
     instance: InstanceEntry,
-    habits: Arc<AnswerHabits>,
+    traits: Arc<InstanceTraits>,
     limit: usize,
     state: Mutex<PoolState>,
     freed: Event,
@@ -115,7 +115,7 @@
         Arc::new(Self {
             codec,
             instance,
-            habits: Arc::default(),
+            traits: Arc::default(),
             limit,
             state: Mutex::default(),
             freed: Event::new(),
@@ -227,8 +227,8 @@
     /// answered. A refusal is an answer, unless it comes from another instance.
     pub async fn probe(&self) -> bool {
         let deadline = Instant::now() + PROBE_TIMEOUT;
-        let habits = self.habits.clone();
-        let connecting = DatabaseConnection::connect(self.codec, &self.instance, habits, deadline);
+        let traits = self.traits.clone();
+        let connecting = DatabaseConnection::connect(self.codec, &self.instance, traits, deadline);
         connecting.await.err().is_none_or(|error| error.is_answer())
     }
 
@@ -281,9 +281,9 @@
     async fn open(mut self, deadline: Instant) -> Result<PoolLease, ConnectionError> {
         let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let pool = self.pool.clone();
-        let habits = pool.habits.clone();
+        let traits = pool.traits.clone();
         let connection =
-            DatabaseConnection::connect(pool.codec, &pool.instance, habits, deadline).await?;
+            DatabaseConnection::connect(pool.codec, &pool.instance, traits, deadline).await?;
         let pooled = PooledConnection {
             connection,
             values: SessionValues::default(),
--- a/crates/proxy/tests/pairing.rs
+++ b/crates/proxy/tests/pairing.rs
@@ -10,7 +10,7 @@
 use fulmarrill_proxy::owner::connection::DatabaseAnswer;
 use fulmarrill_proxy::owner::lead::{LEAD_CHECK, LeadCheck, take_lead_check};
 use fulmarrill_proxy::owner::pairing::{
-    AnswerHabits, AnswerHistory, ExchangeStep, PendingExchange,
+    AnswerHistory, ExchangeStep, InstanceTraits, PendingExchange,
 };
 use fulmarrill_proxy::statement::{PreparedShape, TransactionState};
 use rstest::rstest;
@@ -96,9 +96,9 @@
 }
 
 impl CopiedConnection {
-    fn new(habits: Arc<AnswerHabits>, copies: &[AnswerCopy], now: Instant) -> Self {
+    fn new(traits: Arc<InstanceTraits>, copies: &[AnswerCopy], now: Instant) -> Self {
         Self {
-            history: AnswerHistory::new(habits),
+            history: AnswerHistory::new(traits),
             state: TransactionState::Idle,
             answers: Vec::new(),
             arrived: 0,
@@ -316,15 +316,15 @@
     earlier: u64,
 ) -> (usize, Option<WrongPairing>) {
     let now = Instant::now();
-    let habits = Arc::new(AnswerHabits::default().with_answers(earlier));
+    let traits = Arc::new(InstanceTraits::default().with_answers(earlier));
     if earlier > 0 {
         // Another connection of the pool has seen two proofs.
-        let mut other = CopiedConnection::new(habits.clone(), &[], now);
+        let mut other = CopiedConnection::new(traits.clone(), &[], now);
         for _ in 0..2 {
             other.run_unit(UnitWork::Write(OK)).unwrap();
         }
     }
-    let mut connection = CopiedConnection::new(habits, copies, now);
+    let mut connection = CopiedConnection::new(traits, copies, now);
     for unit in units {
         match connection.run_unit(*unit) {
             Ok(true) => {}
