Show a promote that loses writes whose copies are away

Cause: PrimaryChange::choose_instance counts the replicas that are listed at the moment. If the primary and the replica that has the newest commits crash together, the entry of that replica lapses, and the replica that is left is taken for all of them.

Nothing of the product is changed.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod copies_away;
 mod late_order;
 mod lender_lost;
 mod zone_lost;
@@ -29,6 +30,7 @@
         "late-order" => late_order::run(&record, with_trouble),
         "zone-lost" => zone_lost::run(&record, with_trouble),
         "lender-lost" => lender_lost::run(&record, with_trouble),
+        "copies-away" => copies_away::run(&record, with_trouble),
         _ => Err(format!("no case {case}").into()),
     }
 }
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -224,6 +224,14 @@
         }
     }
 
+    /// Names the region of a zone that has instances only. Takes effect when the hosts
+    /// start.
+    pub fn add_region(&mut self, zone: &str, region: &str) {
+        for host in &mut self.hosts {
+            host.settings["regions"][zone] = region.into();
+        }
+    }
+
     /// Writes the entry of an instance.
     pub fn put_instance(&self, place: Place, state: &str, role: &str, number: u64) {
         self.store.put(
