--- a/review/standin-2/src/callers.rs
+++ b/review/standin-2/src/callers.rs
@@ -26,6 +26,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Pause between two operations of a session.
 const PAUSE: Duration = Duration::from_millis(150);
+/// Pause between two documents of a session.
+const DOCUMENT_PAUSE: Duration = Duration::from_secs(1);
 /// Pause before a retry.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -45,6 +47,7 @@
     /// Ids of the writes that were answered with success.
     acknowledged: Mutex<Vec<String>>,
     is_over: AtomicBool,
+    has_documents: AtomicBool,
     next_id: AtomicU64,
 }
 
@@ -56,6 +59,7 @@
             requests: Mutex::default(),
             acknowledged: Mutex::default(),
             is_over: AtomicBool::new(false),
+            has_documents: AtomicBool::new(true),
             next_id: AtomicU64::new(1),
         })
     }
@@ -79,6 +83,28 @@
         threads
     }
 
+    /// Starts `count` sessions that write documents of `bytes` on a route.
+    pub fn start_documents(
+        self: &Arc<Self>,
+        route: &'static str,
+        who: &str,
+        count: usize,
+        bytes: usize,
+    ) -> Vec<JoinHandle<()>> {
+        let mut threads = Vec::new();
+        for number in 0..count {
+            let mut consumer = Consumer::new(self.clone(), route, who.to_owned(), number);
+            consumer.document_bytes = bytes;
+            threads.push(std::thread::spawn(move || consumer.run()));
+        }
+        threads
+    }
+
+    /// Ends the sessions that write documents.
+    pub fn end_documents(&self) {
+        self.has_documents.store(false, Ordering::SeqCst);
+    }
+
     /// Changes the hosts that new connections go to.
     pub fn set_targets(&self, targets: Vec<String>) {
         *self.targets.lock().expect("no consumer panics") = targets;
@@ -117,6 +143,8 @@
     number: usize,
     session: Option<BufReader<TcpStream>>,
     next_target: usize,
+    /// Bytes of the documents that it writes; 0 for one that reads and writes items.
+    document_bytes: usize,
 }
 
 /// The answer to one statement: its code, `DONE` for a success.
@@ -131,6 +159,7 @@
             number,
             session: None,
             next_target: number,
+            document_bytes: 0,
         }
     }
 
@@ -138,7 +167,11 @@
         let mut round = self.number;
         while !self.crowd.is_over.load(Ordering::SeqCst) {
             round += 1;
-            let writes = self.route != "ticket-read" && round.is_multiple_of(4);
+            let is_document = self.document_bytes > 0;
+            if is_document && !self.crowd.has_documents.load(Ordering::SeqCst) {
+                return;
+            }
+            let writes = is_document || self.route != "ticket-read" && round.is_multiple_of(4);
             let sent_at = self.crowd.record.time();
             let is_served = self.operation(writes, round);
             let request = Request { sent_at, is_served };
@@ -147,7 +180,7 @@
                 .lock()
                 .expect("no consumer panics")
                 .push(request);
-            std::thread::sleep(PAUSE);
+            std::thread::sleep(if is_document { DOCUMENT_PAUSE } else { PAUSE });
         }
     }
 
@@ -163,7 +196,10 @@
             }
             let id = self.crowd.next_id.fetch_add(1, Ordering::SeqCst);
             let item = format!("{}-{}", self.route, self.number);
-            let text = if writes {
+            let text = if self.document_bytes > 0 {
+                let name = format!("document-{}", self.number);
+                format!("WRITE {name} {}", document(id, self.document_bytes))
+            } else if writes {
                 format!("WRITE {item} v{round}")
             } else {
                 format!("READ {item}")
@@ -177,9 +213,11 @@
                 Ok(code) => code.clone(),
                 Err(error) => format!("no answer: {error}"),
             };
-            self.crowd
-                .record
-                .line(&format!("{} {id:016x} {text} -> {shown}", self.route));
+            self.crowd.record.line(&format!(
+                "{} {id:016x} {} -> {shown}",
+                self.route,
+                short(&text)
+            ));
             match outcome {
                 Ok(code) if code == "DONE" => {
                     if writes {
@@ -259,6 +297,30 @@
     }
 }
 
+/// Letters and digits that do not compress.
+fn document(id: u64, bytes: usize) -> String {
+    const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+    let mut state = id.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    let mut text = String::with_capacity(bytes);
+    while text.len() < bytes {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        text.push(char::from(
+            LETTERS[usize::from(state.to_be_bytes()[0] >> 2)],
+        ));
+    }
+    text
+}
+
+/// A statement as the record shows it.
+fn short(text: &str) -> String {
+    match text.get(..40) {
+        Some(start) => format!("{start}... ({} bytes)", text.len()),
+        None => text.to_owned(),
+    }
+}
+
 fn read_line(session: &mut BufReader<TcpStream>) -> io::Result<String> {
     let mut line = String::new();
     if session.read_line(&mut line)? == 0 {
--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -3,6 +3,7 @@
 mod copies_away;
 mod late_order;
 mod lender_lost;
+mod long_records;
 mod zone_lost;
 
 use std::error::Error;
@@ -30,6 +31,7 @@
         "late-order" => late_order::run(&record, with_trouble),
         "zone-lost" => zone_lost::run(&record, with_trouble),
         "lender-lost" => lender_lost::run(&record, with_trouble),
+        "long-records" => long_records::run(&record, with_trouble),
         "copies-away" => copies_away::run(&record, with_trouble),
         _ => Err(format!("no case {case}").into()),
     }
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -7,6 +7,7 @@
 
 mod callers;
 mod cases;
+mod gate;
 mod link;
 mod record;
 mod site;
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -224,6 +224,15 @@
         }
     }
 
+    /// Sends the hosts' calls to the store, orders too, to another address. Takes effect
+    /// when they start.
+    pub fn set_store(&mut self, address: &str) {
+        for host in &mut self.hosts {
+            host.settings["store"] = address.into();
+        }
+        self.set_orders(address);
+    }
+
     /// Names the region of a zone that has instances only. Takes effect when the hosts
     /// start.
     pub fn add_region(&mut self, zone: &str, region: &str) {
