Log a change of primary that waits until its term is settled

After a drill of the store no change of primary begins for 12.3 s, and nothing in the logs said that one was due. So a leaving primary that stays in use could have one of three causes that look alike: its entry is not seen, the change waits, or the change fails.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -201,6 +201,8 @@
     outdated: OutdatedInstances,
     down_instances: BTreeSet<InstanceId>,
     change_reasons: BTreeMap<DatabaseName, (ObjectVersion, ChangeReason, Instant)>,
+    /// Reasons for changes that wait until a term is settled.
+    waiting_changes: BTreeMap<DatabaseName, ChangeReason>,
     handed_over: BTreeMap<DatabaseName, Term>,
     /// Since when this host should join the holders of a term.
     join_since: BTreeMap<DatabaseName, Instant>,
@@ -249,6 +251,7 @@
             outdated: OutdatedInstances::default(),
             down_instances: BTreeSet::new(),
             change_reasons: BTreeMap::new(),
+            waiting_changes: BTreeMap::new(),
             handed_over: BTreeMap::new(),
             join_since: BTreeMap::new(),
             leaving: false,
--- a/crates/proxy/src/control/plan.rs
+++ b/crates/proxy/src/control/plan.rs
@@ -130,8 +130,10 @@
                     self.plan_holder_join(now, &view, &term, &mut actions);
                     if !self.is_settled(now, &term) {
                         self.rewrite_since.remove(database);
+                        self.note_waiting_change(now, &view, &term);
                         continue;
                     }
+                    self.waiting_changes.remove(database);
                     actions.extend(self.plan_settled_term(now, &view, &term));
                     actions.extend(self.plan_handed_over(&term));
                     actions.extend(self.plan_change(now, &view, &term));
@@ -273,6 +275,22 @@
         None
     }
 
+    /// Logs a reason to change a primary that has to wait until the term is settled.
+    fn note_waiting_change(&mut self, now: Instant, view: &TrafficView, term: &TermView) {
+        let database = &term.record.database;
+        let Some((reason, _)) = self.change_reason(now, view, term) else {
+            self.waiting_changes.remove(database);
+            return;
+        };
+        if self.waiting_changes.insert(database.clone(), reason) != Some(reason) {
+            log::info!(
+                "{database}: primary {} is not replaced yet ({reason:?}): leases of an earlier \
+                 era of the store may be valid",
+                term.record.primary
+            );
+        }
+    }
+
     /// Plans a change of primary that was handed over to this host. It is planned
     /// only once, since its reason may be gone by the next time.
     fn plan_handed_over(&mut self, term: &TermView) -> Option<ControlAction> {
