Replace a leaving primary before the leases of an earlier era have expired

Cause: no change of primary began until the term was settled, 12.3 s after the drill, whatever its reason. The store counts as stable after 5 s, and a leaving primary must be out of use 7 s later.

Hosts that stop using a leaving primary by a clock of their own would hide it: callers would be refused until the term is settled.

Change: the change of a leaving primary is reserved at once, which stops its use. Promotion still waits for the term to be settled, unless the primary reports to lead the term of the record and then steps down. A record that was written again belongs to a run with a valid lease; a later term can exist only if the primary had stepped down before. So a primary that leads shows that there is none, and its step-down ends the term for unknown holders as well. The reservation is not marked as settled, so a host that takes it over waits.

The model check reserves unsettled changes; without the new guard the search finds two primaries in 12 steps, with it nothing.

era::no_change_begins_and_no_holder_is_dropped_until_the_term_is_settled asked that a leaving primary is not replaced until then, which is the fault. It now asks the same of a primary that is gone, is down, was handed over or whose change was abandoned (four cases for one).

--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -4,7 +4,9 @@
 //! in the store, which also yields the fencing token. It then waits until
 //! no host can use the old primary: the primary has stepped down, or every
 //! holder of the term has released it, has provably ended, or can no longer have
-//! a valid lease. Only then is the instance with the newest log promoted.
+//! a valid lease. Only then is the instance with the newest log promoted. While hosts may
+//! have leases of an earlier era of the store of which this host knows nothing, only a
+//! primary that leads its term when it is told to step down ends it sooner.
 //!
 //! A host that cannot reserve a change in the store hands the change over to the
 //! next host in the election order and keeps trying. Conditional writes let only
@@ -90,6 +92,17 @@
     }
 }
 
+/// What [`change_primary`] is to do.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestedChange {
+    /// Version of the term record for which the reason was found.
+    pub version: ObjectVersion,
+    /// The reason.
+    pub reason: ChangeReason,
+    /// See [`crate::control::plan::ControlAction::ChangePrimary`].
+    pub unsettled_until: Option<Instant>,
+}
+
 /// A change in progress, with the record as this host wrote it last.
 struct PrimaryChange<'a> {
     context: &'a SharedContext,
@@ -104,6 +117,9 @@
     /// Whether an instance that leads a later term was promoted by an earlier change that
     /// the store knows.
     continues_change: bool,
+    /// Until when hosts may hold terms or leases of an earlier era of the store of which
+    /// this host knows nothing.
+    unsettled_until: Option<Instant>,
 }
 
 /// Replaces the primary of a database, if its term record still has `version`.
@@ -114,9 +130,13 @@
     port: &ControlPort,
     control: &ControlSender,
     database: &str,
-    version: ObjectVersion,
-    reason: ChangeReason,
+    requested: RequestedChange,
 ) {
+    let RequestedChange {
+        version,
+        reason,
+        unsettled_until,
+    } = requested;
     let view = context.view.load();
     let Some(term) = view.terms.get(database).filter(|t| t.version == version) else {
         return;
@@ -143,7 +163,7 @@
             record.add_displaced(displacing);
         }
     }
-    record.is_settled = !is_lost && view.versions.era > 0;
+    record.is_settled = !is_lost && unsettled_until.is_none() && view.versions.era > 0;
     let continues_change = view.versions.era == 0 || reason == ChangeReason::Abandoned;
     let reserving = reserve_change(context, port, record, term.stored);
     let Some((reserved, version)) = reserving.await else {
@@ -159,6 +179,7 @@
         begun_at,
         shown_at: Some(begun_at),
         continues_change,
+        unsettled_until,
     };
     change.announce_record();
     match change.run().await {
@@ -331,8 +352,27 @@
             .await
     }
 
+    /// Whether no host can hold a term or a lease of which this host knows nothing.
+    fn is_settled(&self) -> bool {
+        self.unsettled_until
+            .is_none_or(|until| Instant::now() >= until)
+    }
+
+    /// Whether the old primary leads the term of the record; `None` if it does not tell.
+    async fn leads_term(&self) -> Option<bool> {
+        let view = self.context.view.load();
+        let instance = view.instances.get(&self.record.primary)?;
+        let status = self.command(instance, DatabaseCommand::Status).await;
+        let status = status.status()?;
+        Some(status.role == DatabaseRole::Primary && status.term == self.record.term)
+    }
+
     /// Waits until no host can use the old primary. Returns its status if it
     /// stepped down, which ends the term for all holders at once.
+    ///
+    /// Until the term is settled only a primary that leads it is told to step down. Any
+    /// other may have stepped down for a change that the store has lost, and a later term
+    /// may be in use.
     async fn end_term(&self, term: Term) -> Option<DatabaseStatus> {
         let database = &self.record.database;
         let mut holding: BTreeSet<RunName> = self.record.holders.iter().cloned().collect();
@@ -340,9 +380,22 @@
         let busy_until = Instant::now() + CATCH_UP_TIMEOUT;
         // A primary that does not answer would delay the requests to the holders.
         let mut asks_primary = !self.is_primary_unreachable();
+        let (mut has_led, mut has_logged) = (false, false);
         loop {
             let mut is_busy = false;
-            if asks_primary {
+            if asks_primary && !has_led && !self.is_settled() {
+                let leads = self.leads_term().await;
+                has_led = leads == Some(true);
+                if leads == Some(false) && !std::mem::replace(&mut has_logged, true) {
+                    log::warn!(
+                        "{database}: primary {} does not lead term {}, the change waits until \
+                         no later term can be in use",
+                        self.record.primary,
+                        self.record.term
+                    );
+                }
+            }
+            if asks_primary && (has_led || self.is_settled()) {
                 match self.step_down(term + 1).await {
                     CommandAnswer::Status(status) if status.role == DatabaseRole::Replica => {
                         log::info!(
@@ -356,7 +409,8 @@
             }
             asks_primary = true;
             holding = self.remaining_holders(holding, term).await;
-            let has_ended = holding.is_empty() || BootTime::now() >= leases_expire_at;
+            let is_released = holding.is_empty() && self.is_settled();
+            let has_ended = is_released || BootTime::now() >= leases_expire_at;
             if !has_ended {
                 Timer::after(POLL_INTERVAL).await;
                 continue;
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -406,6 +406,14 @@
         (is_confirmed && term.record.is_settled) || self.is_era_settled(now)
     }
 
+    /// When the term is settled; `None` if it is.
+    fn unsettled_until(&self, now: Instant, term: &TermView) -> Option<Instant> {
+        if self.is_settled(now, term) {
+            return None;
+        }
+        self.era_since.map(|since| since + SETTLE_TIME)
+    }
+
     /// Whether a list of this revision arrives late: it is of an earlier era than the
     /// known one, or was read before the `held` list.
     fn is_outdated(&self, held: ListVersion, revision: StoreRevision) -> bool {
--- a/crates/proxy/src/control/plan.rs
+++ b/crates/proxy/src/control/plan.rs
@@ -53,6 +53,9 @@
         version: ObjectVersion,
         /// The reason.
         reason: ChangeReason,
+        /// Until when hosts may hold terms or leases of an earlier era of the store of
+        /// which this host knows nothing; none if they cannot.
+        unsettled_until: Option<Instant>,
     },
 }
 
@@ -128,14 +131,12 @@
                         continue;
                     }
                     self.plan_holder_join(now, &view, &term, &mut actions);
-                    if !self.is_settled(now, &term) {
+                    if self.is_settled(now, &term) {
+                        actions.extend(self.plan_settled_term(now, &view, &term));
+                        actions.extend(self.plan_handed_over(&term));
+                    } else {
                         self.rewrite_since.remove(database);
-                        self.note_waiting_change(now, &view, &term);
-                        continue;
                     }
-                    self.waiting_changes.remove(database);
-                    actions.extend(self.plan_settled_term(now, &view, &term));
-                    actions.extend(self.plan_handed_over(&term));
                     actions.extend(self.plan_change(now, &view, &term));
                 }
             }
@@ -212,6 +213,7 @@
             database: database.clone(),
             version: term.version,
             reason: ChangeReason::Unconfirmed,
+            unsettled_until: None,
         })
     }
 
@@ -275,22 +277,6 @@
         None
     }
 
-    /// Logs a reason to change a primary that has to wait until the term is settled.
-    fn note_waiting_change(&mut self, now: Instant, view: &TrafficView, term: &TermView) {
-        let database = &term.record.database;
-        let Some((reason, _)) = self.change_reason(now, view, term) else {
-            self.waiting_changes.remove(database);
-            return;
-        };
-        if self.waiting_changes.insert(database.clone(), reason) != Some(reason) {
-            log::info!(
-                "{database}: primary {} is not replaced yet ({reason:?}): leases of an earlier \
-                 era of the store may be valid",
-                term.record.primary
-            );
-        }
-    }
-
     /// Plans a change of primary that was handed over to this host. It is planned
     /// only once, since its reason may be gone by the next time.
     fn plan_handed_over(&mut self, term: &TermView) -> Option<ControlAction> {
@@ -309,10 +295,14 @@
             database,
             version,
             reason: ChangeReason::Handed,
+            unsettled_until: None,
         })
     }
 
-    /// Plans a change of primary once its reason has lasted for the delay.
+    /// Plans a change of primary once its reason has lasted for the delay, and once the
+    /// term is settled. Only a primary that is leaving is replaced before that: it is still
+    /// there to step down, which ends its term also for hosts of which this one knows
+    /// nothing, and it must be out of use by the time at which it ends.
     fn plan_change(
         &mut self,
         now: Instant,
@@ -322,8 +312,18 @@
         let database = term.record.database.clone();
         let Some((reason, delay)) = self.change_reason(now, view, term) else {
             self.change_reasons.remove(&database);
+            self.waiting_changes.remove(&database);
             return None;
         };
+        let unsettled_until = self.unsettled_until(now, term);
+        if unsettled_until.is_some() && reason != ChangeReason::Leaving {
+            self.change_reasons.remove(&database);
+            // The host that reserved a change may still be at it.
+            if reason != ChangeReason::Abandoned {
+                self.note_waiting_change(&term.record, reason);
+            }
+            return None;
+        }
         let known = self.change_reasons.get(&database).copied();
         let since = match known {
             Some((version, known, since)) if version == term.version && known == reason => since,
@@ -336,9 +336,22 @@
             database,
             version,
             reason,
+            unsettled_until,
         })
     }
 
+    /// Logs a reason to change a primary that has to wait until the term is settled.
+    fn note_waiting_change(&mut self, record: &TermRecord, reason: ChangeReason) {
+        let database = &record.database;
+        if self.waiting_changes.insert(database.clone(), reason) != Some(reason) {
+            log::info!(
+                "{database}: primary {} is not replaced yet ({reason:?}): leases of an earlier \
+                 era of the store may be valid",
+                record.primary
+            );
+        }
+    }
+
     /// Plans to enter a primary that restarted under a new id into the record of its
     /// term, and returns whether it does. One instance at most leads a term, so one that
     /// reports to lead this term is the same primary, with its log.
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -279,6 +279,7 @@
         database: "orders".into(),
         version,
         reason: ChangeReason::Handed,
+        unsettled_until: None,
     };
     assert_eq!(state.plan(now), [expected]);
 }
@@ -368,6 +369,7 @@
         database: "orders".into(),
         version: 5.into(),
         reason: ChangeReason::Leaving,
+        unsettled_until: None,
     };
     assert_eq!(state.plan(now), [expected]);
 }
@@ -385,6 +387,7 @@
         planned[..],
         [ControlAction::ChangePrimary {
             reason: ChangeReason::Gone,
+            unsettled_until: None,
             ..
         }]
     ));
@@ -414,6 +417,7 @@
         database: "orders".into(),
         version: 5.into(),
         reason: ChangeReason::Gone,
+        unsettled_until: None,
     };
     assert_eq!(state.plan(now + Duration::from_secs(3)), [expected]);
 }
@@ -496,6 +500,7 @@
         database: database(),
         version,
         reason: ChangeReason::Handed,
+        unsettled_until: None,
     };
     assert_eq!(state.plan(now), [expected]);
     assert_eq!(state.plan(now), []);
@@ -551,6 +556,7 @@
         state.plan(now)[..],
         [ControlAction::ChangePrimary {
             reason: ChangeReason::Abandoned,
+            unsettled_until: None,
             ..
         }]
     ));
--- a/crates/proxy/tests/drills.rs
+++ b/crates/proxy/tests/drills.rs
@@ -19,7 +19,7 @@
 use rstest::rstest;
 use terms::TermStep::{
     Ask, AskLate, Deliver, Drill, Join, JoinLate, Promote, Publish, Release, Reserve, Rewrite,
-    Tell, Tick,
+    StepDown, Tell, Tick,
 };
 use terms::{
     JOIN_IN_NEW_ERA, LEASE_IN_NEW_ERA, ORDER_IN_NEW_ERA, TERM_IN_NEW_ERA, TermGuard, TermModel,
@@ -205,7 +205,7 @@
 const UNNEEDED: [TermGuard; 2] = [TermGuard::OrderOfEra, TermGuard::HoldersUnited];
 
 /// Schedules that are broken without a guard and not with all of them.
-const SCHEDULES: [(TermGuard, TermModel, &str, &[TermStep]); 19] = [
+const SCHEDULES: [(TermGuard, TermModel, &str, &[TermStep]); 20] = [
     (
         TermGuard::ConditionalWrite,
         DRILL_WITH_ALL,
@@ -363,6 +363,25 @@
         REPLACED,
         &[Join(1), Drill, Ask(0), Reserve(0), Promote(0)],
     ),
+    (
+        TermGuard::LedTerm,
+        DRILL_BETWEEN_CHANGES,
+        REPLACED,
+        &[
+            Reserve(1),
+            StepDown(1),
+            Promote(1),
+            Publish(1),
+            Drill,
+            Ask(0),
+            Tick,
+            Tick,
+            Rewrite(0),
+            Reserve(0),
+            StepDown(0),
+            Promote(0),
+        ],
+    ),
     (
         TermGuard::EraInName,
         THREE_HOSTS,
--- a/crates/proxy/tests/drills/terms.rs
+++ b/crates/proxy/tests/drills/terms.rs
@@ -51,8 +51,11 @@
     QuietTime,
     /// No holder is dropped before the era is settled.
     HoldersKept,
-    /// No change is reserved before the era is settled.
+    /// Before the era is settled no record that is not confirmed is reserved, and no change
+    /// takes the answers of the holders that it knows for the end of the term.
     SettledChange,
+    /// Before the era is settled only a primary that leads its term ends it by stepping down.
+    LedTerm,
     /// Each era has an object of its own for a term, so that a condition of an earlier
     /// era holds for none of a later one.
     EraInName,
@@ -119,6 +122,10 @@
     lease_wait: u8,
     /// Holders that have not released the term.
     awaited: u8,
+    /// Ticks until the era is settled.
+    settle_wait: u8,
+    /// Whether the primary has led the term of the record since the change began.
+    has_led: bool,
     has_stepped_down: bool,
     /// Term of the promoted instance.
     promoted: Option<u8>,
@@ -225,6 +232,8 @@
     ReserveLate(u8),
     /// The second host releases the term for the first one's change.
     Release(u8, u8),
+    /// The primary of a change's record tells a host that it leads the term.
+    Lead(u8),
     /// The primary of a change's record steps down.
     StepDown(u8),
     /// A host sends its order.
@@ -416,7 +425,8 @@
             && (pending_era == era || !self.has(TermGuard::AnswerOfEra))
         {
             host.pending = None;
-            Self::begin_change(host, index, era, stored, (pending_age, age));
+            let is_settled = record.is_settled;
+            Self::begin_change(host, index, era, stored, (pending_age, age), is_settled);
         }
     }
 
@@ -426,7 +436,9 @@
         era: u8,
         (record, version): (ModelRecord, u8),
         (age, confirm_age): (u8, u8),
+        is_settled: bool,
     ) {
+        let settle_wait = SETTLE_TICKS.saturating_sub(host.era_age);
         host.released = host.released.max(record.term);
         host.change = Some(ModelChange {
             record,
@@ -436,6 +448,8 @@
             confirm_age,
             lease_wait: LEASE_TICKS,
             awaited: record.holders & !(1 << index),
+            settle_wait: if is_settled { 0 } else { settle_wait },
+            has_led: false,
             has_stepped_down: false,
             promoted: None,
         });
@@ -460,9 +474,10 @@
             Some(changer) => changer != index && host.held_age >= ABANDONED_TICKS,
         };
         let is_settled = Self::is_settled(host) || !self.has(TermGuard::SettledChange);
+        let is_confirmed = host.held.era == host.era && host.key.0 == host.era;
         if !may_reserve
             || self.shows_reservation(host, index)
-            || !is_settled
+            || !is_settled && !is_confirmed
             || host.change.is_some()
             || host.pending.is_some()
         {
@@ -483,7 +498,7 @@
         }
         record.changer = Some(index);
         record.era = host.era;
-        record.is_settled = true;
+        record.is_settled = is_settled;
         Some(record)
     }
 
@@ -526,7 +541,8 @@
         if change.promoted.is_some() {
             return false;
         }
-        let has_ended = change.has_stepped_down || change.awaited == 0 || change.lease_wait == 0;
+        let is_released = change.awaited == 0 && change.settle_wait == 0;
+        let has_ended = change.has_stepped_down || is_released || change.lease_wait == 0;
         if !has_ended && self.has(TermGuard::LeaseWait) {
             return false;
         }
@@ -595,6 +611,7 @@
             return;
         };
         record.term = record.term.max(reported);
+        let is_settled = Self::is_settled(&host) || !self.has(TermGuard::SettledChange);
         if self.write_as(state, index, shown.revision, record) {
             let version = state.content.revision;
             let host = &mut state.hosts[usize::from(index)];
@@ -604,6 +621,7 @@
                 host.era,
                 (record, version),
                 (0, 0),
+                is_settled,
             );
         }
     }
@@ -664,6 +682,7 @@
             term: change.promoted.unwrap_or_default(),
             holders: 1 << index,
             changer: None,
+            is_settled: true,
             ..change.record
         };
         self.write_as(state, index, change.version, record);
@@ -729,6 +748,7 @@
                 change.age = (change.age + 1).min(CHANGE_TICKS);
                 change.confirm_age = (change.confirm_age + 1).min(ORDER_TICKS);
                 change.lease_wait = change.lease_wait.saturating_sub(1);
+                change.settle_wait = change.settle_wait.saturating_sub(1);
             }
         }
         for message in &mut state.late {
@@ -796,7 +816,12 @@
             return;
         };
         if !change.has_stepped_down && change.promoted.is_none() {
-            steps.push(TermStep::StepDown(index));
+            let has_led = change.has_led || !self.has(TermGuard::LedTerm);
+            if has_led || change.settle_wait == 0 {
+                steps.push(TermStep::StepDown(index));
+            } else if state.stepped_down & (1 << change.record.term) == 0 {
+                steps.push(TermStep::Lead(index));
+            }
         }
         if self.may_promote(host, change) {
             steps.push(TermStep::Promote(index));
@@ -930,6 +955,11 @@
                     }
                 }
             }
+            TermStep::Lead(index) => {
+                if let Some(change) = &mut next.hosts[usize::from(index)].change {
+                    change.has_led = true;
+                }
+            }
             TermStep::StepDown(index) => {
                 if let Some(change) = &mut next.hosts[usize::from(index)].change {
                     change.has_stepped_down = true;
--- a/crates/proxy/tests/era.rs
+++ b/crates/proxy/tests/era.rs
@@ -1,6 +1,6 @@
 //! Control state when the store comes back from an older copy, without I/O.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use fulmarrill_proxy::catalogue::{
@@ -8,7 +8,7 @@
 };
 use fulmarrill_proxy::clock::BootTime;
 use fulmarrill_proxy::codec::DatabaseRole;
-use fulmarrill_proxy::control::plan::{ABANDONED_CHANGE_TIMEOUT, ControlAction};
+use fulmarrill_proxy::control::plan::{ABANDONED_CHANGE_TIMEOUT, ChangeReason, ControlAction};
 use fulmarrill_proxy::control::{ControlEvent, ControlState, LEASE_TIME, QUIET_TIME, SETTLE_TIME};
 use rstest::rstest;
 
@@ -288,27 +288,49 @@
     assert!(!state.plan(now).contains(&ControlAction::RestoreHost));
 }
 
-/// Guards against a change that does not wait for holders of which this host knows nothing.
-#[test]
-fn no_change_begins_and_no_holder_is_dropped_until_the_term_is_settled() {
-    let now = Instant::now();
+/// State of a host, not among the holders, whose store shows a record that was written again
+/// in era 2 and is not settled.
+fn unsettled_state(now: Instant, changed_by: Option<&str>) -> (ControlState, ObjectVersion) {
     let mut state = state(now);
     let written = ObjectVersion::new(2, 101);
     let mut confirmed = record(3, "a", 2);
     confirmed.holders = vec![OTHER_RUN.into()];
+    confirmed.changed_by = changed_by.map(Into::into);
     confirmed.is_settled = false;
     state.handle(now, hosts_event(written, &["h1"]));
     state.handle(now, terms_event(written, confirmed));
-    state.handle(now, instances_event(written, true));
-    let changes = |actions: &[ControlAction]| {
-        let is_change =
-            |action: &ControlAction| matches!(action, ControlAction::ChangePrimary { .. });
-        actions.iter().any(is_change)
-    };
+    (state, written)
+}
+
+fn is_change(action: &ControlAction) -> bool {
+    matches!(action, ControlAction::ChangePrimary { .. })
+}
+
+fn without_primary(revision: ObjectVersion) -> ControlEvent {
+    ControlEvent::Instances {
+        revision,
+        as_of: None,
+        list: vec![instance("b", DatabaseRole::Replica, false)],
+    }
+}
+
+/// Guards against a change that does not wait for holders of which this host knows nothing.
+#[rstest]
+#[case::gone(None, &without_primary)]
+#[case::down(None, &|_| ControlEvent::InstancesDown(BTreeSet::from(["a".into()])))]
+#[case::handed_over(None, &|_| ControlEvent::ChangeHandedOver { database: "orders".into(), term: 3 })]
+#[case::abandoned(Some("h9~1"), &|written| instances_event(written, true))]
+fn no_change_begins_and_no_holder_is_dropped_until_the_term_is_settled(
+    #[case] changed_by: Option<&str>,
+    #[case] event: &dyn Fn(ObjectVersion) -> ControlEvent,
+) {
+    let now = Instant::now();
+    let (mut state, written) = unsettled_state(now, changed_by);
+    state.handle(now, event(written));
     for step in 0..24 {
         let at = now + Duration::from_millis(500) * step;
         let actions = state.plan(at);
-        assert!(!changes(&actions), "{actions:?}");
+        assert!(!actions.iter().any(is_change), "{actions:?}");
         for action in actions {
             if let ControlAction::WriteTerm { record, .. } = action {
                 assert!(record.holders.contains(&OTHER_RUN.into()));
@@ -318,11 +340,36 @@
     let settled_at = now + SETTLE_TIME;
     let mut is_planned = false;
     for step in 0..10 {
-        is_planned |= changes(&state.plan(settled_at + Duration::from_millis(500) * step));
+        let actions = state.plan(settled_at + Duration::from_millis(500) * step);
+        is_planned |= actions.iter().any(is_change);
     }
     assert!(is_planned);
 }
 
+/// Guards against a primary that is used after it has drained: its change waited until the
+/// term was settled.
+#[test]
+fn leaving_primary_is_replaced_before_the_term_is_settled() {
+    let now = Instant::now();
+    let (mut state, written) = unsettled_state(now, None);
+    state.handle(now, instances_event(written, true));
+    let mut actions = state.plan(now);
+    // Behind the other host of the election order.
+    actions.extend(state.plan(now + Duration::from_secs(1)));
+    let expected = ControlAction::ChangePrimary {
+        database: "orders".into(),
+        version: written,
+        reason: ChangeReason::Leaving,
+        unsettled_until: Some(now + SETTLE_TIME),
+    };
+    assert!(actions.contains(&expected), "{actions:?}");
+    for action in actions {
+        if let ControlAction::WriteTerm { record, .. } = action {
+            assert!(record.holders.contains(&OTHER_RUN.into()));
+        }
+    }
+}
+
 /// Guards against a change of primary over another one in the same era, by a host that
 /// knows a later term, and against its fencing token a second time.
 #[test]
