Check planned changes before the term is settled in the model

The model reserves changes of confirmed records before the era is settled, as the product does now for a leaving primary, and hosts may end.

The second one was found by the longer search: without it, a change adopts the primary of a term that the store has lost, whose holders its record does not name (14 steps). The product could not do that, since only an abandoned change adopts an instance and none is planned before the term is settled; the condition now stands in `change_primary` itself.

--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -115,7 +115,8 @@
     /// shown that the reservation is lost.
     shown_at: Option<BootTime>,
     /// Whether an instance that leads a later term was promoted by an earlier change that
-    /// the store knows.
+    /// the store knows. Never before the term is settled: that term may have holders that
+    /// its record would not name.
     continues_change: bool,
     /// Until when hosts may hold terms or leases of an earlier era of the store of which
     /// this host knows nothing.
@@ -164,7 +165,8 @@
         }
     }
     record.is_settled = !is_lost && unsettled_until.is_none() && view.versions.era > 0;
-    let continues_change = view.versions.era == 0 || reason == ChangeReason::Abandoned;
+    let continues_change =
+        unsettled_until.is_none() && (view.versions.era == 0 || reason == ChangeReason::Abandoned);
     let reserving = reserve_change(context, port, record, term.stored);
     let Some((reserved, version)) = reserving.await else {
         log::info!("{database}: the change of primary was not reserved, it is left to other hosts");
--- a/crates/proxy/tests/drills.rs
+++ b/crates/proxy/tests/drills.rs
@@ -18,8 +18,8 @@
 use lists::{CONFIGURED_IN_NEW_ERA, LEFT_IN_NEW_ERA, ListGuard, ListModel, RETURN_IN_NEW_ERA};
 use rstest::rstest;
 use terms::TermStep::{
-    Ask, AskLate, Deliver, Drill, Join, JoinLate, Promote, Publish, Release, Reserve, Rewrite,
-    StepDown, Tell, Tick,
+    Ask, AskLate, Deliver, Drill, End, Find, Join, JoinLate, Promote, Publish, Release, Reserve,
+    Rewrite, StepDown, Tell, Tick,
 };
 use terms::{
     JOIN_IN_NEW_ERA, LEASE_IN_NEW_ERA, ORDER_IN_NEW_ERA, TERM_IN_NEW_ERA, TermGuard, TermModel,
@@ -51,6 +51,7 @@
         changes,
         joins,
         late,
+        ends: 0,
     }
 }
 
@@ -61,6 +62,10 @@
 const DRILL_BETWEEN_CHANGES: TermModel = scope(2, 1, 2, 0, 0);
 const DRILL_JOIN_AND_CHANGES: TermModel = scope(2, 1, 2, 1, 0);
 const THREE_HOSTS: TermModel = scope(3, 1, 2, 2, 1);
+const DRILL_AND_END: TermModel = TermModel {
+    ends: 1,
+    ..scope(3, 1, 2, 1, 0)
+};
 const THREE_CHANGES: TermModel = scope(2, 1, 3, 0, 0);
 const DRILL_WITH_ALL: TermModel = scope(2, 1, 2, 1, 1);
 
@@ -78,6 +83,7 @@
 fn random_schedules_break_no_property() {
     let model = TermModel {
         copies: 2,
+        ends: 1,
         ..scope(3, 2, 3, 2, 2)
     };
     let options = WalkOptions {
@@ -205,7 +211,7 @@
 const UNNEEDED: [TermGuard; 2] = [TermGuard::OrderOfEra, TermGuard::HoldersUnited];
 
 /// Schedules that are broken without a guard and not with all of them.
-const SCHEDULES: [(TermGuard, TermModel, &str, &[TermStep]); 20] = [
+const SCHEDULES: [(TermGuard, TermModel, &str, &[TermStep]); 22] = [
     (
         TermGuard::ConditionalWrite,
         DRILL_WITH_ALL,
@@ -382,6 +388,47 @@
             Promote(0),
         ],
     ),
+    (
+        TermGuard::SettledFind,
+        THREE_CHANGES,
+        REPLACED,
+        &[
+            Reserve(1),
+            StepDown(1),
+            Promote(1),
+            Publish(1),
+            Drill,
+            Ask(0),
+            Tick,
+            Tick,
+            Rewrite(0),
+            Reserve(0),
+            Find(0),
+            Publish(0),
+            Reserve(0),
+            Promote(0),
+        ],
+    ),
+    (
+        TermGuard::SettledAsKnown,
+        DRILL_AND_END,
+        REPLACED,
+        &[
+            Join(1),
+            Drill,
+            Ask(0),
+            Tick,
+            Tick,
+            Rewrite(0),
+            Ask(2),
+            Reserve(0),
+            End(0),
+            Ask(2),
+            Reserve(2),
+            Release(2, 0),
+            Promote(2),
+        ],
+    ),
     (
         TermGuard::EraInName,
         THREE_HOSTS,
@@ -537,6 +584,7 @@
         scope(2, 2, 1, 0, 0),
         scope(2, 2, 2, 1, 1),
         scope(3, 1, 1, 1, 0),
+        DRILL_AND_END,
     ];
     for model in scopes {
         let outcome = search(&model, states_max);
--- a/crates/proxy/tests/drills/terms.rs
+++ b/crates/proxy/tests/drills/terms.rs
@@ -56,6 +56,10 @@
     SettledChange,
     /// Before the era is settled only a primary that leads its term ends it by stepping down.
     LedTerm,
+    /// Before the era is settled no change publishes a term that it finds.
+    SettledFind,
+    /// A reservation says that the era is settled only if it is.
+    SettledAsKnown,
     /// Each era has an object of its own for a term, so that a condition of an earlier
     /// era holds for none of a later one.
     EraInName,
@@ -156,6 +160,7 @@
     /// A reservation without an answer, its era and age.
     pending: Option<(ModelRecord, u8, u8)>,
     change: Option<ModelChange>,
+    has_ended: bool,
 }
 
 /// A message that arrives late or never.
@@ -194,6 +199,7 @@
     changes_left: u8,
     joins_left: u8,
     late_left: u8,
+    ends_left: u8,
     hosts: Vec<ModelHost>,
     late: Vec<LateMessage>,
     /// Term of the instance that was promoted last.
@@ -250,6 +256,8 @@
     Rewrite(u8),
     /// A host marks the record of a settled era as such.
     Settle(u8),
+    /// A host ends for good; others can tell.
+    End(u8),
 }
 
 /// Bits of [`StateModel::reached`].
@@ -275,6 +283,8 @@
     pub joins: u8,
     /// Number of late messages.
     pub late: u8,
+    /// Number of hosts that end.
+    pub ends: u8,
 }
 
 impl TermModel {
@@ -349,6 +359,9 @@
         record: ModelRecord,
         confirmed: u8,
     ) {
+        if host.has_ended {
+            return;
+        }
         let running = Self::uses_term(host, index);
         let (held_rank, rank) = (host.held.rank(), record.rank());
         let replaces = if self.has(TermGuard::RankKept) && rank != held_rank {
@@ -468,10 +481,14 @@
     }
 
     /// The record with which a host reserves a change, if it may.
-    fn reservation(&self, host: &ModelHost, index: u8) -> Option<ModelRecord> {
+    fn reservation(&self, state: &TermState, index: u8) -> Option<ModelRecord> {
+        let host = &state.hosts[usize::from(index)];
         let may_reserve = match host.held.changer {
             None => true,
-            Some(changer) => changer != index && host.held_age >= ABANDONED_TICKS,
+            Some(changer) => {
+                let has_ended = state.hosts[usize::from(changer)].has_ended;
+                changer != index && (has_ended || host.held_age >= ABANDONED_TICKS)
+            }
         };
         let is_settled = Self::is_settled(host) || !self.has(TermGuard::SettledChange);
         let is_confirmed = host.held.era == host.era && host.key.0 == host.era;
@@ -498,7 +515,7 @@
         }
         record.changer = Some(index);
         record.era = host.era;
-        record.is_settled = is_settled;
+        record.is_settled = is_settled || !self.has(TermGuard::SettledAsKnown);
         Some(record)
     }
 
@@ -607,7 +624,7 @@
     fn reserve(&self, state: &mut TermState, index: u8, reported: u8) {
         state.changes_left -= 1;
         let host = state.hosts[usize::from(index)];
-        let (Some(shown), Some(mut record)) = (host.shown, self.reservation(&host, index)) else {
+        let (Some(shown), Some(mut record)) = (host.shown, self.reservation(state, index)) else {
             return;
         };
         record.term = record.term.max(reported);
@@ -633,8 +650,8 @@
             TermStep::ReserveReported(index) => self.reserve(state, index, state.leader_term),
             TermStep::ReserveLate(index) => {
                 state.changes_left -= 1;
+                let record = self.reservation(state, index);
                 let host = &mut state.hosts[usize::from(index)];
-                let record = self.reservation(host, index);
                 host.pending = record.map(|record| (record, host.era, 0));
                 Self::write_late(state, index, record);
             }
@@ -768,6 +785,12 @@
 
     fn steps_of_host(&self, state: &TermState, index: u8, steps: &mut Vec<TermStep>) {
         let host = &state.hosts[usize::from(index)];
+        if host.has_ended {
+            return;
+        }
+        if state.ends_left > 0 {
+            steps.push(TermStep::End(index));
+        }
         let is_late_allowed = state.late_left > 0;
         steps.push(TermStep::Ask(index));
         if is_late_allowed {
@@ -788,7 +811,7 @@
             }
         }
         let knows_stored = host.shown.is_some();
-        let can_reserve = knows_stored && self.reservation(host, index).is_some();
+        let can_reserve = knows_stored && self.reservation(state, index).is_some();
         if can_reserve && state.changes_left > 0 {
             steps.push(TermStep::Reserve(index));
             if host.era > 0 && state.leader_term > host.held.term {
@@ -826,7 +849,8 @@
         if self.may_promote(host, change) {
             steps.push(TermStep::Promote(index));
         }
-        if change.promoted.is_none() && state.leader_term > change.record.term {
+        let may_find = change.settle_wait == 0 || !self.has(TermGuard::SettledFind);
+        if may_find && change.promoted.is_none() && state.leader_term > change.record.term {
             steps.push(TermStep::Find(index));
         }
         if change.promoted.is_some() && change.era == host.era {
@@ -866,6 +890,7 @@
             top_term: 1,
             pending: None,
             change: None,
+            has_ended: false,
         };
         TermState {
             era: 0,
@@ -875,6 +900,7 @@
             changes_left: self.changes,
             joins_left: self.joins,
             late_left: self.late,
+            ends_left: self.ends,
             hosts: vec![host; usize::from(self.hosts)],
             late: Vec::new(),
             leader_term: 1,
@@ -955,6 +981,14 @@
                     }
                 }
             }
+            TermStep::End(index) => {
+                next.ends_left -= 1;
+                let host = &mut next.hosts[usize::from(index)];
+                host.has_ended = true;
+                host.lease = 0;
+                host.pending = None;
+                host.change = None;
+            }
             TermStep::Lead(index) => {
                 if let Some(change) = &mut next.hosts[usize::from(index)].change {
                     change.has_led = true;
