Let the store of the soak come back from older copies

The soak had no drills, so nothing drew a primary that leaves after one beside other faults. The new check DRAIN reports statements that reach it later than 7 s after its report, unless a fault hindered hosts meanwhile, and counts the departures that were followed.

--- a/src/commands.rs
+++ b/src/commands.rs
@@ -69,12 +69,14 @@
             hosts,
             callers,
             limits,
+            drills,
             page,
         } => soak::run(seed, seeds, page.as_deref(), &|options| {
             options
                 .with_time(Duration::from_secs(seconds))
                 .with_size(hosts, callers)
                 .with_limits(limits)
+                .with_drills(drills)
         }),
         Command::Demo { seconds, listen } => demo::run(seconds, listen),
     }
--- a/src/commands/soak.rs
+++ b/src/commands/soak.rs
@@ -11,12 +11,13 @@
 /// Maximum number of violations printed for each seed and check.
 const VIOLATIONS_SHOWN: usize = 20;
 /// Names of the checks of single statements.
-const CHECK_NAMES: [&str; 7] = [
+const CHECK_NAMES: [&str; 8] = [
     "MIXED",
     "UNASKED",
     "PINNED",
     "MALFORMED",
     "ROUTE",
+    "DRAIN",
     "QUOTA",
     "KEY",
 ];
@@ -84,8 +85,12 @@
         report.busy_refusals,
     );
     println!(
-        "  {} sessions and statements refused because of their key; {} violations of keys and limits",
-        report.key_refusals, report.customer_violations,
+        "  {} sessions and statements refused because of their key; {} violations of keys and \
+         limits; {} leaving instances followed, {} statements reached them too late",
+        report.key_refusals,
+        report.customer_violations,
+        report.drains.checked,
+        report.drains.late.len(),
     );
     if report.violations.is_empty() {
         return;
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -93,6 +93,8 @@
         callers: usize,
         /// Whether customers have rate limits.
         limits: bool,
+        /// Whether the store comes back from older copies.
+        drills: bool,
         /// File for a page with plots of the last seed.
         page: Option<PathBuf>,
     },
@@ -302,7 +304,10 @@
     let limits = long("limits")
         .help("Declare rate limits of customers, and check them")
         .switch();
-    construct!(Command::Soak { seed, seeds, seconds, hosts, callers, limits, page })
+    let drills = long("drills")
+        .help("Let the store come back from older copies, and primaries leave after that")
+        .switch();
+    construct!(Command::Soak { seed, seeds, seconds, hosts, callers, limits, drills, page })
         .to_options()
         .descr("Injects random faults (kills, pauses, cuts, delays) around hosts that run as processes, and checks what callers were told")
         .footer("Example: fulmarrill soak --seed 7 --seconds 30\nExit code 2 if a guarantee to callers was violated; the output names the folder with the hosts' settings and logs.")
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -10,6 +10,9 @@
 /// Numbers of hosts and callers; small because other tests run at the same time.
 const SIZE: (usize, usize) = (3, 6);
 const TIME: Duration = Duration::from_secs(10);
+const DRILL_SEED: u64 = 4401;
+/// Long enough for a drill, the time after which the store is stable, and a drain time.
+const DRILL_TIME: Duration = Duration::from_secs(24);
 
 #[rstest]
 #[case::few_disturbances(11)]
@@ -30,3 +33,23 @@
     assert!(report.acknowledged > 0);
     assert!(report.findings.compared > 0 && report.findings.received > 0);
 }
+
+/// Guards against answers that are wrong because the store came back from an older copy, and
+/// against a primary that leaves after that and stays in use.
+#[test]
+fn answers_to_callers_hold_after_a_drill_of_the_store() {
+    let program = Path::new(env!("CARGO_BIN_EXE_fulmarrill"));
+    let options = SoakOptions::new(program, DRILL_SEED)
+        .with_size(SIZE.0, SIZE.1)
+        .with_time(DRILL_TIME)
+        .with_drills(true);
+    let report = smol::block_on(run_soak(&options)).expect("the soak runs");
+    assert_eq!(
+        report.violations,
+        Vec::<String>::new(),
+        "{:#?}",
+        report.plan
+    );
+    assert!(report.acknowledged > 0);
+    assert!(report.drains.checked > 0);
+}
