Reset orders that are given up, and repair databases whose primary does not lead

Cause: an order that a host gave up stayed with the operating system and arrived two seconds after the next one, which had the same fencing token; and a record whose primary is alive, listed and a replica was no reason for a change.

Change: connections of orders are reset when they end; each order has its own token, confirmed by the store; no other instance is ordered within 2.5 s of an order that may take effect (change/orders.rs, without I/O); instances that contradict the record are asked, and the primary is changed. A change that finds a later leader ends the old term before it publishes it. A host whose own change ran out of time begins anew at once.

The task of a connection is now dropped with it.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -60,11 +60,30 @@
     Request(#[from] hyper::http::Error),
 }
 
+/// Lets the operating system drop what was sent and not acknowledged when a connection is
+/// closed, also by the end of the process, or has gone silent for `silence`.
+fn discard_unsent(stream: &TcpStream, silence: Duration) -> rustix::io::Result<()> {
+    let silence_ms = u32::try_from(silence.as_millis()).unwrap_or(u32::MAX);
+    sockopt::set_socket_linger(stream, Some(Duration::ZERO))?;
+    sockopt::set_tcp_user_timeout(stream, silence_ms)
+}
+
+/// A connection, which ends at once when it is dropped.
+#[derive(Debug)]
+struct HttpConnection {
+    // Dropped first: without a sender the task would close the stream in order.
+    _task: smol::Task<()>,
+    sender: SendRequest<Full<Bytes>>,
+}
+
 /// A client of one server that keeps one idle connection for reuse.
 #[derive(Debug)]
 pub struct HttpClient {
     address: CompactString,
-    idle: Mutex<Option<SendRequest<Full<Bytes>>>>,
+    idle: Mutex<Option<HttpConnection>>,
+    /// Time after which a silent connection is reset; none if connections are closed in
+    /// order.
+    reset_after: Option<Duration>,
 }
 
 impl HttpClient {
@@ -74,9 +93,19 @@
         Self {
             address: address.into(),
             idle: Mutex::new(None),
+            reset_after: None,
         }
     }
 
+    /// Resets connections in place of closing them, also when nothing is acknowledged on
+    /// one for `silence`. A request that is given up while it is held up on its way then
+    /// does not arrive later.
+    #[must_use]
+    pub fn with_reset(mut self, silence: Duration) -> Self {
+        self.reset_after = Some(silence);
+        self
+    }
+
     /// Returns the address that the client was created with.
     #[must_use]
     pub fn address(&self) -> &str {
@@ -129,23 +158,24 @@
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<HttpResponse, HttpError> {
-        let mut sender = self.take_or_connect().await?;
+        let mut connection = self.take_or_connect().await?;
         let failed = |error| HttpError::Connection(self.address.clone(), error);
-        let response = sender.send_request(request).await.map_err(failed)?;
+        let sending = connection.sender.send_request(request);
+        let response = sending.await.map_err(failed)?;
         let (parts, body) = response.into_parts();
         let body = body.collect().await.map_err(failed)?;
-        self.put_back(sender);
+        self.put_back(connection);
         let mut response = HttpResponse::json(parts.status.as_u16(), body.to_bytes().to_vec());
         response.headers = parts.headers;
         Ok(response)
     }
 
-    async fn take_or_connect(&self) -> Result<SendRequest<Full<Bytes>>, HttpError> {
-        let idle_sender = self.idle.lock().ok().and_then(|mut idle| idle.take());
-        if let Some(mut sender) = idle_sender
-            && sender.ready().await.is_ok()
+    async fn take_or_connect(&self) -> Result<HttpConnection, HttpError> {
+        let idle = self.idle.lock().ok().and_then(|mut idle| idle.take());
+        if let Some(mut connection) = idle
+            && connection.sender.ready().await.is_ok()
         {
-            return Ok(sender);
+            return Ok(connection);
         }
         let failed = |source| HttpError::Connect {
             address: self.address.clone(),
@@ -160,19 +190,24 @@
         if let Err(error) = enable_keep_alive(&stream) {
             log::warn!("{address}: keep-alive probes cannot be enabled: {error}");
         }
+        if let Some(silence) = self.reset_after {
+            discard_unsent(&stream, silence).map_err(|error| failed(error.into()))?;
+        }
         let (sender, connection) = handshake(FuturesIo::new(stream))
             .await
             .map_err(|error| HttpError::Connection(self.address.clone(), error))?;
-        fulmarrill_runtime::spawn(async move {
+        let task = fulmarrill_runtime::spawn(async move {
             connection.await.ok();
+        });
+        Ok(HttpConnection {
+            _task: task,
+            sender,
         })
-        .detach();
-        Ok(sender)
     }
 
-    fn put_back(&self, sender: SendRequest<Full<Bytes>>) {
+    fn put_back(&self, connection: HttpConnection) {
         if let Ok(mut idle) = self.idle.lock() {
-            *idle = Some(sender);
+            *idle = Some(connection);
         }
     }
 }
--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -8,12 +8,18 @@
 //! have leases of an earlier era of the store of which this host knows nothing, only a
 //! primary that leads its term when it is told to step down ends it sooner.
 //!
+//! Each order to promote has a fencing token of its own, and no instance is ordered while an
+//! order for another one may still take effect (see [`orders`]). If one takes effect all the
+//! same, the instance that the record names no longer leads; a change then publishes the one
+//! that does.
+//!
 //! A host that cannot reserve a change in the store hands the change over to the
 //! next host in the election order and keeps trying. Conditional writes let only
 //! one reservation succeed.
 
 pub mod candidate;
 mod handover;
+pub mod orders;
 pub mod reach;
 
 use std::collections::BTreeSet;
@@ -26,6 +32,7 @@
 use crate::catalogue::{HostEntry, InstanceEntry, InstanceId, ObjectVersion, RunName, TermRecord};
 use crate::change::candidate::{ChangeCandidate, CommitBounds, choose_candidate};
 use crate::change::handover::hand_over_change;
+use crate::change::orders::{OrderLog, OrderStep};
 use crate::change::reach::is_reachable_from_others;
 use crate::clock::BootTime;
 use crate::codec::{DatabaseCommand, DatabaseRole, DatabaseStatus, ErrorKind};
@@ -68,9 +75,6 @@
 /// Bits of a fencing token that count the changes within an era of the store; the bits
 /// above them are the era. So no two eras have a token in common.
 const ERA_FENCE_BITS: u32 = 20;
-/// Time within which an instance must lead after the order to promote it; the
-/// platform needs up to a second.
-const PROMOTE_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Answer of an instance to a command of a change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -114,10 +118,13 @@
     /// Start of the last call to the store that showed the reservation; none once it has
     /// shown that the reservation is lost.
     shown_at: Option<BootTime>,
-    /// Whether an instance that leads a later term was promoted by an earlier change that
-    /// the store knows. Never before the term is settled: that term may have holders that
-    /// its record would not name.
+    /// Whether the change continues one that ended the term, so that an instance that leads
+    /// a later term is published at once.
     continues_change: bool,
+    /// Whether an instance that leads a later term is published once the present term has
+    /// ended. Not before the term is settled: that term may have holders that its record
+    /// would not name.
+    adopts_leader: bool,
     /// Until when hosts may hold terms or leases of an earlier era of the store of which
     /// this host knows nothing.
     unsettled_until: Option<Instant>,
@@ -149,6 +156,9 @@
         log::info!("{database}: another host reaches the primary, it is not replaced");
         return;
     }
+    if reason == ChangeReason::Superseded && !is_superseded(context, &view, record).await {
+        return;
+    }
     log::warn!(
         "{database}: primary {} of term {} is to be replaced: {reason:?}",
         record.primary,
@@ -165,8 +175,8 @@
         }
     }
     record.is_settled = !is_lost && unsettled_until.is_none() && view.versions.era > 0;
-    let continues_change =
-        unsettled_until.is_none() && (view.versions.era == 0 || reason == ChangeReason::Abandoned);
+    let continues_change = unsettled_until.is_none() && reason == ChangeReason::Abandoned;
+    let adopts_leader = unsettled_until.is_none() && !is_lost;
     let reserving = reserve_change(context, port, record, term.stored);
     let Some((reserved, version)) = reserving.await else {
         log::info!("{database}: the change of primary was not reserved, it is left to other hosts");
@@ -181,6 +191,7 @@
         begun_at,
         shown_at: Some(begun_at),
         continues_change,
+        adopts_leader,
         unsettled_until,
     };
     change.announce_record();
@@ -190,6 +201,24 @@
     }
 }
 
+/// Whether the instance that a record names no longer leads its term: it reports to be a
+/// replica, or another instance reports to lead a later term. Lists may be behind, so the
+/// instances are asked.
+async fn is_superseded(context: &SharedContext, view: &TrafficView, record: &TermRecord) -> bool {
+    let asking = view.instances_of(&record.database).map(|instance| async {
+        let owner = context.owners.owner(view, instance);
+        let deadline = Instant::now() + REQUEST_TIMEOUT;
+        let (_, answer) = owner.run_command(DatabaseCommand::Status, deadline).await?;
+        let status = context.owners.read_status(&answer)?;
+        Some(if instance.id == record.primary {
+            status.role == DatabaseRole::Replica
+        } else {
+            status.role == DatabaseRole::Primary && status.term > record.term
+        })
+    });
+    join_all(asking).await.contains(&Some(true))
+}
+
 /// Reserves a change of a record. If another host has written the record
 /// meanwhile and its term is unchanged, as when that host joined the holders,
 /// tries again with the new record.
@@ -272,33 +301,76 @@
 
     async fn run(&mut self) -> Option<InstanceId> {
         let mut old_term = self.record.term;
-        if let Some((primary, term)) = self.find_promoted_instance(old_term).await {
-            if self.continues_change {
-                // An earlier change promoted this instance but did not publish its
-                // term.
-                self.publish_term(&primary, term).await;
-                return Some(primary.id);
-            }
+        let promoted = self.find_promoted_instance(old_term).await;
+        if let Some((primary, term)) = &promoted
+            && self.continues_change
+        {
+            // An earlier change promoted this instance but did not publish its term.
+            self.publish_term(primary, *term).await;
+            return Some(primary.id.clone());
+        }
+        if let Some((_, term)) = &promoted
+            && !self.adopts_leader
+        {
             // The store has lost the change that promoted it, and maybe later ones.
-            old_term = term;
+            old_term = *term;
         }
         let stepped_down = self.end_term(old_term).await;
+        if self.adopts_leader
+            && let Some((primary, term)) = self.find_promoted_instance(old_term).await
+        {
+            self.publish_term(&primary, term).await;
+            return Some(primary.id);
+        }
         let floor = stepped_down.map(|status| status.received);
         let catch_up_until = Instant::now() + CATCH_UP_TIMEOUT;
-        while self.is_in_time() && self.shown_at.is_some() {
-            let choosing = self.choose_instance(old_term + 1, floor, catch_up_until);
-            let Some(chosen) = choosing.await else {
-                Timer::after(BUSY_POLL_INTERVAL).await;
-                continue;
-            };
-            if let Some(term) = self.promote(&chosen, old_term).await {
-                self.publish_term(&chosen, term).await;
-                return Some(chosen.id.clone());
+        let mut orders = OrderLog::default();
+        while self.shown_at.is_some() && (self.is_in_time() || orders.is_open(Instant::now())) {
+            let leading = self.leading_instance(&orders, old_term).await;
+            let mut chosen = None;
+            if leading.is_none() && self.is_in_time() && orders.may_order(Instant::now()) {
+                let choosing = self.choose_instance(old_term + 1, floor, catch_up_until);
+                chosen = choosing.await;
+            }
+            let leader = leading.as_ref().map(|(leader, term)| (&leader.id, *term));
+            let chosen_id = chosen.as_ref().map(|chosen| &chosen.id);
+            match orders.next_step(Instant::now(), leader, chosen_id) {
+                OrderStep::Publish(id, term) => {
+                    let (primary, _) = leading?;
+                    self.publish_term(&primary, term).await;
+                    return Some(id);
+                }
+                OrderStep::Order(id) => self.order_promotion(&id, &mut orders).await,
+                OrderStep::Wait if orders.is_open(Instant::now()) => {
+                    Timer::after(POLL_INTERVAL).await;
+                }
+                OrderStep::Wait => {
+                    Timer::after(BUSY_POLL_INTERVAL).await;
+                }
             }
         }
         None
     }
 
+    /// Of the instances that were ordered, the one that leads the latest term after
+    /// `old_term`.
+    async fn leading_instance(
+        &self,
+        orders: &OrderLog,
+        old_term: Term,
+    ) -> Option<(InstanceEntry, Term)> {
+        let view = self.context.view.load();
+        let asking = orders.ordered().map(|id| async {
+            let instance = view.instances.get(id)?;
+            let status = self.command(instance, DatabaseCommand::Status).await;
+            let status = status.status()?;
+            let leads = status.role == DatabaseRole::Primary && status.term > old_term;
+            leads.then(|| (instance.clone(), status.term))
+        });
+        let answers = join_all(asking).await.into_iter().flatten();
+        answers.max_by_key(|(_, term)| *term)
+    }
+
     /// The instance that already leads the latest term after `old_term`.
     async fn find_promoted_instance(&self, old_term: Term) -> Option<(InstanceEntry, Term)> {
         let view = self.context.view.load();
@@ -558,39 +630,64 @@
         age.is_some_and(|age| age < ORDER_TIME)
     }
 
-    /// Sends a promotion order and waits until the instance leads. Returns its
-    /// term.
-    async fn promote(&mut self, chosen: &InstanceEntry, old_term: Term) -> Option<Term> {
+    /// Sends an order to promote an instance, with a fencing token that no earlier order had.
+    async fn order_promotion(&mut self, instance: &InstanceId, orders: &mut OrderLog) {
+        if orders.needs_token() {
+            if !self.renew_reservation().await {
+                return;
+            }
+            orders.renew_token();
+        } else if !self.is_reservation_shown().await {
+            return;
+        }
         let order = PromoteOrder {
             database: self.record.database.clone(),
-            instance: chosen.id.clone(),
+            instance: instance.clone(),
             holder: self.context.place.host.clone(),
             fence: self.record.fence,
         };
-        if !self.is_in_time() || !self.is_reservation_shown().await {
-            return None;
-        }
         let outcome = (self.port.promote)(order).await;
         log::info!(
-            "{}: order to promote {}: {outcome:?}",
+            "{}: order {} to promote {instance}: {outcome:?}",
             self.record.database,
-            chosen.id
+            self.record.fence,
         );
-        if outcome == PromoteOutcome::Refused {
-            return None;
+        orders.record(instance, outcome, Instant::now());
+        if matches!(outcome, PromoteOutcome::Refused | PromoteOutcome::NotSent) {
+            Timer::after(POLL_INTERVAL).await;
         }
-        let until = Instant::now() + PROMOTE_TIMEOUT;
-        while Instant::now() < until {
-            let answer = self.command(chosen, DatabaseCommand::Status).await;
-            if let Some(status) = answer.status()
-                && status.role == DatabaseRole::Primary
-                && status.term > old_term
-            {
-                return Some(status.term);
+    }
+
+    /// Writes the reservation again with the next fencing token. Returns whether the store
+    /// has confirmed it.
+    async fn renew_reservation(&mut self) -> bool {
+        let mut renewed = self.record.clone();
+        renewed.fence = next_fence(renewed.fence, self.version.era);
+        let asked_at = BootTime::now();
+        let deadline = Instant::now() + RESERVE_TIMEOUT;
+        let writing = self
+            .port
+            .write_confirmed(&renewed, self.version, deadline, || ());
+        if let Some(version) = writing.await {
+            if version.era != self.version.era {
+                self.shown_at = None;
+                return false;
             }
-            Timer::after(POLL_INTERVAL).await;
+            (self.record, self.version) = (renewed, version);
+            self.shown_at = Some(asked_at);
+            self.announce_record();
+            return true;
         }
-        None
+        let held = (self.port.read_term)(self.record.database.clone()).await;
+        let is_lost = held.is_some_and(|held| held.is_none_or(|held| held.1 != self.version));
+        if is_lost {
+            self.shown_at = None;
+            log::warn!(
+                "{}: another host has written the record, the change ends",
+                self.record.database
+            );
+        }
+        false
     }
 
     /// Writes the new term to the store and announces it.
--- a/crates/proxy/src/control/plan.rs
+++ b/crates/proxy/src/control/plan.rs
@@ -21,6 +21,9 @@
 /// Index in the election order from which on the delay stays the same.
 const MAX_ELECTION_STEPS: u32 = 5;
 /// Number of preferred owners of a primary that join its holders before they
+/// Time for which roles must contradict a record before its primary counts as superseded. A
+/// replaced primary may lead for a second until it has heard of the new one.
+const SUPERSEDED_TIME: Duration = Duration::from_millis(1500);
 /// need to use it.
 pub const PREFERRED_HOLDERS: usize = 3;
 
@@ -83,6 +86,8 @@
     fn owner_index(&self, view: &TrafficView, instance: &InstanceEntry) -> usize {
         let region = self.regions.get(&instance.data_centre);
         let region = region.map(compact_str::CompactString::as_str);
+    /// By the roles that instances report, another instance leads, or none does.
+    Superseded,
         let owners = view.routes.preferred_owners(instance, region).iter();
         let mut names = owners.map(|host| &host.name);
         names
@@ -305,6 +310,10 @@
     /// nothing, and it must be out of use by the time at which it ends.
     fn plan_change(
         &mut self,
+            if *run == self.own.run {
+                // Ignored for as long as this host is at it.
+                return Some((ChangeReason::Abandoned, Duration::ZERO));
+            }
         now: Instant,
         view: &TrafficView,
         term: &TermView,
@@ -328,6 +337,10 @@
         let since = match known {
             Some((version, known, since)) if version == term.version && known == reason => since,
             _ => now,
+        if contradicts_record(view, record) {
+            let delay = SUPERSEDED_TIME + election_delay();
+            return Some((ChangeReason::Superseded, delay));
+        }
         };
         self.change_reasons
             .insert(database.clone(), (term.version, reason, since));
@@ -477,3 +490,12 @@
         actions.push(ControlAction::WriteTerm { record, if_version });
     }
 }
+
+/// Whether the roles that instances report contradict a record.
+fn contradicts_record(view: &TrafficView, record: &TermRecord) -> bool {
+    let mut instances = view.instances_of(&record.database);
+    instances.any(|instance| {
+        let is_primary = instance.role == DatabaseRole::Primary;
+        is_primary != (instance.id == record.primary)
+    })
+}
--- a/crates/proxy/src/port.rs
+++ b/crates/proxy/src/port.rs
@@ -35,7 +35,7 @@
     pub instance: InstanceId,
     /// Host that sends the order.
     pub holder: HostName,
-    /// Fencing token; each reservation of a change of primary raises it.
+    /// Fencing token, higher than that of every order before.
     pub fence: u64,
 }
 
@@ -46,6 +46,8 @@
     Accepted,
     /// The platform does not promote the instance.
     Refused,
+    /// The platform received nothing of the order.
+    NotSent,
     /// No conclusive answer arrived; the order may still take effect.
     Unknown,
 }
--- a/crates/standin/src/forwarder.rs
+++ b/crates/standin/src/forwarder.rs
@@ -8,6 +8,7 @@
 
 use event_listener::Event;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use rustix::net::sockopt;
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 
@@ -118,6 +119,16 @@
         self.state.changed.notify(usize::MAX);
     }
 
+    /// Lets the connections that stalled permanently go on.
+    pub fn resume_stalled(&self) {
+        *self
+            .state
+            .stalled_below
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = 0;
+        self.state.changed.notify(usize::MAX);
+    }
+
     /// Bytes forwarded so far, in both directions.
     #[must_use]
     pub fn bytes_forwarded(&self) -> u64 {
@@ -180,13 +191,15 @@
     number: u64,
 ) {
     let queue: Mutex<VecDeque<(Instant, Vec<u8>)>> = Mutex::default();
+    let source = from.clone();
     let arrived = Event::new();
     let reader = async {
         let mut chunk = vec![0; CHUNK_BYTES];
         loop {
             let count = match from.read(&mut chunk).await {
-                Ok(count) if count > 0 => count,
-                _ => break,
+                Ok(0) => break,
+                Ok(count) => count,
+                Err(_) => return,
             };
             let due = Instant::now() + state.faults().delay;
             let waiting = {
@@ -214,21 +227,35 @@
     let writer = async {
         loop {
             let listener = arrived.listen();
+            // Taken out once it is written, since the reader waits for that.
             let next = queue
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
-                .pop_front();
+                .front()
+                .cloned();
             let Some((due, bytes)) = next else {
                 listener.await;
                 continue;
             };
             Timer::at(due).await;
-            while state.is_stalled(number) {
-                state.changed.listen().await;
+            loop {
+                let resumed = state.changed.listen();
+                if !state.is_stalled(number) {
+                    break;
+                }
+                resumed.await;
+            }
+            // What a reset finds on its way is lost.
+            if is_reset(&source) {
+                return;
             }
             if to.write_all(&bytes).await.is_err() {
                 return;
             }
+            queue
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .pop_front();
             let count = bytes.len() as u64;
             state
                 .bytes
@@ -237,3 +264,8 @@
     };
     smol::future::or(reader, writer).await;
 }
+
+/// Whether the other end has reset a connection, also after it was closed in order.
+fn is_reset(stream: &TcpStream) -> bool {
+    !matches!(sockopt::socket_error(stream), Ok(Ok(())))
+}
