Use the old primary again if no other instance can be promoted

Cause: a change that has ended the old term looks for an instance other than the old primary; with none it keeps its reservation. Change: the old primary is asked once no other one may be promoted, steps down if it still leads, and is promoted if it is not leaving and none that answers has more. Why it is safe: it has every commit of its term, and no host uses that term any more.

--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -322,14 +322,14 @@
             self.publish_term(&primary, term).await;
             return Some(primary.id);
         }
-        let floor = stepped_down.map(|status| status.received);
+        let mut floor = stepped_down.map(|status| status.received);
         let catch_up_until = Instant::now() + CATCH_UP_TIMEOUT;
         let mut orders = OrderLog::default();
         while self.shown_at.is_some() && (self.is_in_time() || orders.is_open(Instant::now())) {
             let leading = self.leading_instance(&orders, old_term).await;
             let mut chosen = None;
             if leading.is_none() && self.is_in_time() && orders.may_order(Instant::now()) {
-                let choosing = self.choose_instance(old_term + 1, floor, catch_up_until);
+                let choosing = self.choose_instance(old_term + 1, &mut floor, catch_up_until);
                 chosen = choosing.await;
             }
             let leader = leading.as_ref().map(|(leader, term)| (&leader.id, *term));
@@ -376,7 +376,9 @@
         let view = self.context.view.load();
         let mut promoted: Option<(InstanceEntry, Term)> = None;
         for instance in view.instances_of(&self.record.database) {
-            if instance.id == self.record.primary || instance.role != DatabaseRole::Primary {
+            // Only a change that had begun before can have promoted the old primary again.
+            let is_asked = instance.id != self.record.primary || self.continues_change;
+            if !is_asked || instance.role != DatabaseRole::Primary {
                 continue;
             }
             let answer = self.command(instance, DatabaseCommand::Status).await;
@@ -544,11 +546,11 @@
     /// promoted. If the old primary stepped down at `floor`, waits until
     /// `catch_up_until` for a replica that has received the log up to there.
     /// Otherwise pauses the replicas, so that they receive nothing more from terms
-    /// before `term`.
+    /// before `term`. Sets `floor` if a primary steps down meanwhile.
     async fn choose_instance(
         &self,
         term: Term,
-        floor: Option<LogPoint>,
+        floor: &mut Option<LogPoint>,
         catch_up_until: Instant,
     ) -> Option<InstanceEntry> {
         let view = self.context.view.load();
@@ -561,38 +563,85 @@
             .filter(|instance| instance.id != self.record.primary)
             .filter(|instance| sync_replicas > 0 || !instance.leaving)
             .collect();
-        let bounds = CommitBounds {
-            floor,
-            replicas: others.len(),
-            sync_replicas,
-        };
+        let replicas = others.len();
+        let is_floor_known = floor.is_some();
         let asking = others.into_iter().map(|instance| async move {
             // A replica that still receives from a primary that stepped down
             // must not be paused before it has the whole log.
-            let command = match floor {
-                Some(_) => DatabaseCommand::Status,
-                None => DatabaseCommand::Pause(term),
+            let command = if is_floor_known {
+                DatabaseCommand::Status
+            } else {
+                DatabaseCommand::Pause(term)
             };
-            let mut status = self.command(instance, command).await.status()?;
-            if status.role == DatabaseRole::Primary && status.term < term {
-                // The old primary, restarted under a new id. The platform promotes
-                // replicas only.
-                let command = DatabaseCommand::StepDown(term);
-                status = self.command(instance, command).await.status()?;
-            }
-            Some(ChangeCandidate { instance, status })
+            let status = self.command(instance, command).await.status()?;
+            // The old primary may have restarted under a new id.
+            let (status, led) = self.end_lead(instance, status, term).await?;
+            Some((ChangeCandidate { instance, status }, led))
         });
-        let answers = join_all(asking).await;
-        let mut candidates: Vec<ChangeCandidate> = answers.into_iter().flatten().collect();
-        let may_wait = floor.is_some() && Instant::now() < catch_up_until;
+        let mut candidates = Vec::new();
+        for (candidate, led) in join_all(asking).await.into_iter().flatten() {
+            if led == Some(self.record.term) {
+                floor.get_or_insert(candidate.status.received);
+            }
+            candidates.push(candidate);
+        }
+        let bounds = CommitBounds {
+            floor: *floor,
+            replicas,
+            sync_replicas,
+        };
+        let may_wait = is_floor_known && Instant::now() < catch_up_until;
         if may_wait {
             candidates.retain(|candidate| !candidate.instance.leaving);
         }
-        let chosen = choose_candidate(&candidates)?;
-        if !bounds.allow(chosen, candidates.len(), may_wait) {
+        if let Some(chosen) = choose_candidate(&candidates)
+            && bounds.allow(chosen, candidates.len(), may_wait)
+        {
+            return Some(chosen.instance.clone());
+        }
+        if may_wait {
+            return None;
+        }
+        self.choose_old_primary(&view, term, floor, &candidates)
+            .await
+    }
+
+    /// Tells an instance that leads a term before `term` to step down, since the platform
+    /// promotes replicas only. Returns its status, and the term that it led.
+    async fn end_lead(
+        &self,
+        instance: &InstanceEntry,
+        status: DatabaseStatus,
+        term: Term,
+    ) -> Option<(DatabaseStatus, Option<Term>)> {
+        if status.role != DatabaseRole::Primary || status.term >= term {
+            return Some((status, None));
+        }
+        let answer = self.command(instance, DatabaseCommand::StepDown(term));
+        Some((answer.await.status()?, Some(status.term)))
+    }
+
+    /// The old primary, if it answers again, is not leaving, and has as much as every
+    /// candidate. It has every commit of its term, and no host uses that term any more.
+    async fn choose_old_primary(
+        &self,
+        view: &TrafficView,
+        term: Term,
+        floor: &mut Option<LogPoint>,
+        candidates: &[ChangeCandidate<'_>],
+    ) -> Option<InstanceEntry> {
+        let instance = view.instances.get(&self.record.primary)?;
+        if instance.leaving {
             return None;
         }
-        Some(chosen.instance.clone())
+        let status = self.command(instance, DatabaseCommand::Status).await;
+        let (status, led) = self.end_lead(instance, status.status()?, term).await?;
+        if led == Some(self.record.term) {
+            floor.get_or_insert(status.received);
+        }
+        let mut received = candidates.iter().map(|other| other.status.received);
+        let is_newest = received.all(|other| status.received >= other);
+        is_newest.then(|| instance.clone())
     }
 
     /// Whether the store has shown the reservation within [`ORDER_TIME`]. Asks it again if
