Remember in the term record which instances may hold acknowledged writes

Cause: a change counted the replicas that were listed at that moment. Change: the term record names the copies; listed instances are entered, and a copy that is gone is taken out once the primary confirms that the others have what it has. One conditional write for each change of membership, none for a write, none at all with SyncReplicas 0.

--- a/crates/proxy/src/catalogue.rs
+++ b/crates/proxy/src/catalogue.rs
@@ -206,6 +206,25 @@
     tier
 }
 
+/// An instance since one of its starts: it may start again under the id that it had, without
+/// the log of before.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct CopyId {
+    /// Identity.
+    pub id: InstanceId,
+    /// When it started, in milliseconds since 1970 by its own clock; zero if unknown.
+    pub started_ms: u64,
+}
+
+impl From<&InstanceEntry> for CopyId {
+    fn from(instance: &InstanceEntry) -> Self {
+        Self {
+            id: instance.id.clone(),
+            started_ms: instance.started_ms,
+        }
+    }
+}
+
 /// Which instance leads a database, and which runs may use it, as stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TermRecord {
@@ -222,6 +241,10 @@
     pub holders: Vec<RunName>,
     /// Run that is changing the term; no host may use the primary meanwhile.
     pub changed_by: Option<RunName>,
+    /// Instances other than the primary that may hold an acknowledged commit which others
+    /// lack; empty unless the database has synchronous replicas.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub copies: Vec<CopyId>,
     /// Era of the store in which the record was written. A store that came back from
     /// an older copy shows records of earlier eras, which may be out of date.
     #[serde(default, skip_serializing_if = "is_zero")]
@@ -240,8 +263,8 @@
 }
 
 impl TermRecord {
-    /// Adds the holders of a record that this one is written over, and raises the fencing
-    /// token to that of it.
+    /// Adds the holders and copies of a record that this one is written over, and raises the
+    /// fencing token to that of it.
     pub fn add_displaced(&mut self, displaced: &Self) {
         self.fence = self.fence.max(displaced.fence);
         for run in &displaced.holders {
@@ -249,6 +272,11 @@
                 self.holders.push(run.clone());
             }
         }
+        for copy in &displaced.copies {
+            if !self.copies.contains(copy) && copy.id != self.primary {
+                self.copies.push(copy.clone());
+            }
+        }
     }
 }
 
--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -18,10 +18,14 @@
 //! one reservation succeed.
 
 pub mod candidate;
+pub mod copies;
+mod forget;
 mod handover;
 pub mod orders;
 pub mod reach;
 
+pub use crate::change::forget::forget_copies;
+
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
@@ -29,8 +33,11 @@
 use futures_util::future::join_all;
 use smol::Timer;
 
-use crate::catalogue::{HostEntry, InstanceEntry, InstanceId, ObjectVersion, RunName, TermRecord};
+use crate::catalogue::{
+    CopyId, HostEntry, InstanceEntry, InstanceId, ObjectVersion, RunName, TermRecord,
+};
 use crate::change::candidate::{ChangeCandidate, CommitBounds, choose_candidate};
+use crate::change::copies::copies_of_next_term;
 use crate::change::handover::hand_over_change;
 use crate::change::orders::{OrderLog, OrderStep};
 use crate::change::reach::is_reachable_from_others;
@@ -563,7 +570,12 @@
             .filter(|instance| instance.id != self.record.primary)
             .filter(|instance| sync_replicas > 0 || !instance.leaving)
             .collect();
-        let replicas = others.len();
+        let mut copies: BTreeSet<CopyId> =
+            others.iter().map(|other| CopyId::from(*other)).collect();
+        if sync_replicas > 0 {
+            copies.extend(self.record.copies.iter().cloned());
+        }
+        let replicas = copies.len();
         let is_floor_known = floor.is_some();
         let asking = others.into_iter().map(|instance| async move {
             // A replica that still receives from a primary that stepped down
@@ -750,6 +762,14 @@
         {
             holders.push(host.run.clone());
         }
+        let limits = view.endpoints.as_ref();
+        let limits = limits.and_then(|table| table.databases.get(&self.record.database));
+        self.record.copies = if limits.is_some_and(|limits| limits.sync_replicas > 0) {
+            let listed = view.instances_of(&self.record.database);
+            copies_of_next_term(&self.record, &chosen.id, listed)
+        } else {
+            Vec::new()
+        };
         self.record.term = term;
         self.record.primary.clone_from(&chosen.id);
         self.record.holders = holders;
--- a/crates/proxy/src/change/candidate.rs
+++ b/crates/proxy/src/change/candidate.rs
@@ -19,7 +19,7 @@
 pub struct CommitBounds {
     /// Position of the old primary when it stepped down, if it did.
     pub floor: Option<LogPoint>,
-    /// Instances of the database other than the old primary.
+    /// Instances other than the old primary that may hold an acknowledged commit.
     pub replicas: usize,
     /// Replicas that have received a commit when it is acknowledged.
     pub sync_replicas: usize,
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -206,6 +206,8 @@
     handed_over: BTreeMap<DatabaseName, Term>,
     /// Since when this host should join the holders of a term.
     join_since: BTreeMap<DatabaseName, Instant>,
+    /// Since when the copies in a record differ from the listed instances.
+    copies_since: BTreeMap<DatabaseName, Instant>,
     leaving: bool,
     start: SystemStart,
     /// When this host learnt of the era of the store; none if nothing of an earlier era
@@ -254,6 +256,7 @@
             waiting_changes: BTreeMap::new(),
             handed_over: BTreeMap::new(),
             join_since: BTreeMap::new(),
+            copies_since: BTreeMap::new(),
             leaving: false,
             start: SystemStart::default(),
             era_since: None,
--- a/crates/proxy/src/control/plan.rs
+++ b/crates/proxy/src/control/plan.rs
@@ -4,7 +4,8 @@
 
 use fulmarrill_position::DatabaseName;
 
-use crate::catalogue::{InstanceEntry, InstanceId, ObjectVersion, RunName, TermRecord};
+use crate::catalogue::{CopyId, InstanceEntry, InstanceId, ObjectVersion, RunName, TermRecord};
+use crate::change::copies::with_listed;
 use crate::clock::BootTime;
 use crate::codec::DatabaseRole;
 use crate::control::{
@@ -20,10 +21,10 @@
 const ELECTION_STEP: Duration = Duration::from_millis(600);
 /// Index in the election order from which on the delay stays the same.
 const MAX_ELECTION_STEPS: u32 = 5;
-/// Number of preferred owners of a primary that join its holders before they
 /// Time for which roles must contradict a record before its primary counts as superseded. A
 /// replaced primary may lead for a second until it has heard of the new one.
 const SUPERSEDED_TIME: Duration = Duration::from_millis(1500);
+/// Number of preferred owners of a primary that join its holders before they
 /// need to use it.
 pub const PREFERRED_HOLDERS: usize = 3;
 
@@ -48,6 +49,16 @@
     },
     /// Asks an instance which term it leads.
     QueryTerm(InstanceId),
+    /// Takes copies that are no longer listed out of a term record, once the primary
+    /// confirms that the rest have what it has.
+    ForgetCopies {
+        /// The database.
+        database: DatabaseName,
+        /// Version of the record that names them.
+        version: ObjectVersion,
+        /// The copies.
+        gone: Vec<CopyId>,
+    },
     /// Changes the primary of a database, if its record still has this version.
     ChangePrimary {
         /// The database.
@@ -75,6 +86,8 @@
     Handed,
     /// The host that reserved a change did not finish it.
     Abandoned,
+    /// By the roles that instances report, another instance leads, or none does.
+    Superseded,
     /// The store came back from an older copy, and no host has a lease by which it
     /// could write the record again.
     Unconfirmed,
@@ -86,8 +99,6 @@
     fn owner_index(&self, view: &TrafficView, instance: &InstanceEntry) -> usize {
         let region = self.regions.get(&instance.data_centre);
         let region = region.map(compact_str::CompactString::as_str);
-    /// By the roles that instances report, another instance leads, or none does.
-    Superseded,
         let owners = view.routes.preferred_owners(instance, region).iter();
         let mut names = owners.map(|host| &host.name);
         names
@@ -136,6 +147,7 @@
                         continue;
                     }
                     self.plan_holder_join(now, &view, &term, &mut actions);
+                    actions.extend(self.plan_copies(now, &view, &term));
                     if self.is_settled(now, &term) {
                         actions.extend(self.plan_settled_term(now, &view, &term));
                         actions.extend(self.plan_handed_over(&term));
@@ -149,6 +161,48 @@
         actions
     }
 
+    /// Plans to bring the copies of a term up to date: listed instances are entered, and
+    /// those that are gone are taken out once nothing depends on them.
+    fn plan_copies(
+        &mut self,
+        now: Instant,
+        view: &TrafficView,
+        term: &TermView,
+    ) -> Option<ControlAction> {
+        let record = &term.record;
+        let database = &record.database;
+        let limits = self.endpoints.as_ref()?.databases.get(database);
+        let has_copies = limits.is_some_and(|limits| limits.sync_replicas > 0);
+        let listed = with_listed(record, view.instances_of(database));
+        let is_gone = |copy: &&CopyId| {
+            let instance = self.instances.get(&copy.id);
+            instance.is_none_or(|instance| CopyId::from(instance) != **copy)
+        };
+        let gone: Vec<CopyId> = record.copies.iter().filter(is_gone).cloned().collect();
+        let is_due = has_copies && record.changed_by.is_none();
+        if !is_due || (listed.is_none() && gone.is_empty()) {
+            self.copies_since.remove(database);
+            return None;
+        }
+        let delay = self.election_delay(database);
+        let since = *self.copies_since.entry(database.clone()).or_insert(now);
+        if now.saturating_duration_since(since) < delay {
+            return None;
+        }
+        let Some(copies) = listed else {
+            return Some(ControlAction::ForgetCopies {
+                database: database.clone(),
+                version: term.version,
+                gone,
+            });
+        };
+        let mut record = record.clone();
+        record.copies = copies;
+        record.era = self.versions.era;
+        let if_version = term.stored;
+        Some(ControlAction::WriteTerm { record, if_version })
+    }
+
     /// Plans to write the entry of this host again. Hosts that all lost their entries
     /// do not write at the same moment.
     fn plan_restored_host(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
@@ -256,6 +310,10 @@
         // Computed only while there is a reason, since it depends on all hosts.
         let election_delay = || self.election_delay(&record.database);
         if let Some(run) = &record.changed_by {
+            if *run == self.own.run {
+                // Ignored for as long as this host is at it.
+                return Some((ChangeReason::Abandoned, Duration::ZERO));
+            }
             let mut listed = self.hosts.values().chain(self.leaving_hosts.values());
             let is_listed = listed.any(|host| host.run == *run);
             let wait = if is_listed {
@@ -279,6 +337,10 @@
             let election_delay = ELECTION_STEP * index.min(MAX_ELECTION_STEPS);
             return Some((ChangeReason::Down, election_delay));
         }
+        if contradicts_record(view, record) {
+            let delay = SUPERSEDED_TIME + election_delay();
+            return Some((ChangeReason::Superseded, delay));
+        }
         None
     }
 
@@ -310,10 +372,6 @@
     /// nothing, and it must be out of use by the time at which it ends.
     fn plan_change(
         &mut self,
-            if *run == self.own.run {
-                // Ignored for as long as this host is at it.
-                return Some((ChangeReason::Abandoned, Duration::ZERO));
-            }
         now: Instant,
         view: &TrafficView,
         term: &TermView,
@@ -337,10 +395,6 @@
         let since = match known {
             Some((version, known, since)) if version == term.version && known == reason => since,
             _ => now,
-        if contradicts_record(view, record) {
-            let delay = SUPERSEDED_TIME + election_delay();
-            return Some((ChangeReason::Superseded, delay));
-        }
         };
         self.change_reasons
             .insert(database.clone(), (term.version, reason, since));
@@ -398,6 +452,7 @@
             let mut renamed = record.clone();
             renamed.primary.clone_from(&instance.id);
             renamed.holders = self.preferred_holders(view, instance);
+            renamed.copies.retain(|copy| copy.id != instance.id);
             renamed.era = self.versions.era;
             actions.push(ControlAction::WriteTerm {
                 record: renamed,
@@ -440,6 +495,7 @@
                 fence: 0,
                 holders: self.preferred_holders(view, instance),
                 changed_by: None,
+                copies: Vec::new(),
                 era: self.versions.era,
                 is_settled: self.versions.era > 0,
             };
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -79,6 +79,7 @@
         fence: 1,
         holders: holders.iter().map(|run| (*run).into()).collect(),
         changed_by: None,
+        copies: Vec::new(),
         era: 0,
         is_settled: false,
     }
@@ -568,12 +569,11 @@
     let mut changing = record(&[OWN_RUN]);
     changing.changed_by = Some("h2~1".into());
     let (mut state, _) = with_term(now, changing);
-    assert_eq!(state.plan(now), []);
     let hosts = vec![host("h1", OWN_RUN), host("h2", "h2~1")];
     state.handle(now, hosts_event(hosts));
+    assert_eq!(state.plan(now), []);
 }
 
-/// The baseline of measurements applies no policy.
 /// Guards against a change that ran out of time and that its host begins anew only after the
 /// time for which others wait. The executor ignores it while the change is under way.
 #[test]
@@ -591,6 +591,7 @@
     ));
 }
 
+/// The baseline of measurements applies no policy.
 #[test]
 fn baseline_reads_from_the_primary_with_one_rank() {
     let endpoint = EndpointEntry {
--- a/crates/proxy/tests/era.rs
+++ b/crates/proxy/tests/era.rs
@@ -48,6 +48,7 @@
         fence: term,
         holders: vec![OWN_RUN.into(), OTHER_RUN.into()],
         changed_by: None,
+        copies: Vec::new(),
         era,
         is_settled: true,
     }
--- a/crates/proxy/tests/leases.rs
+++ b/crates/proxy/tests/leases.rs
@@ -143,6 +143,7 @@
                 fence: 0,
                 holders: vec![run_of(0), run_of(1)],
                 changed_by: None,
+                copies: Vec::new(),
                 era: 0,
                 is_settled: false,
             },
