Mark hosts that nobody hears within seconds

Cause, one for both: holders and lenders are the first hosts of an order over the listed hosts, and a host that vanished stayed listed for three minutes, or for good with its whole data centre. Ruled out: plan_holder_join and lender_of follow the list as they should.

Marks have numbers, so that a removal never counts an earlier one. The version of the links between hosts rises.

--- a/crates/proxy/src/catalogue.rs
+++ b/crates/proxy/src/catalogue.rs
@@ -184,6 +184,9 @@
     /// Class of its processor share.
     #[serde(default)]
     pub tier: HostTier,
+    /// Number of the mark that another host made, different for each; zero if there is none.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub mark: u64,
 }
 
 /// Class of a host's processor share: each is twice as large as the one below it.
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -140,9 +140,10 @@
     Unknown,
     /// It is listed.
     Listed,
-    /// Since this time it is no longer listed, or other hosts have marked it as
-    /// leaving.
+    /// Since this time it is no longer listed.
     Missing(Instant),
+    /// Since this time other hosts have marked it as leaving.
+    Marked(Instant),
     /// The store came back from an older copy that does not list it.
     Lost,
     /// Other hosts have removed it from the list, or are about to.
@@ -592,8 +593,10 @@
         self.listing = match self.listing {
             _ if is_listed => OwnListing::Listed,
             OwnListing::Listed if is_later_era && own.is_none() => OwnListing::Lost,
-            OwnListing::Listed => OwnListing::Missing(now),
-            OwnListing::Unknown | OwnListing::Lost if own.is_some() => OwnListing::Missing(now),
+            OwnListing::Listed if own.is_none() => OwnListing::Missing(now),
+            OwnListing::Listed => OwnListing::Marked(now),
+            OwnListing::Unknown | OwnListing::Lost if own.is_some() => OwnListing::Marked(now),
+            OwnListing::Missing(since) if own.is_some() => OwnListing::Marked(since),
             other => other,
         };
         if is_listed {
@@ -663,7 +666,7 @@
     /// the view has changed.
     pub fn expire(&mut self, now: Instant) -> bool {
         let mut has_changed = false;
-        if let OwnListing::Missing(since) = self.listing
+        if let OwnListing::Missing(since) | OwnListing::Marked(since) = self.listing
             && now.saturating_duration_since(since) >= MISSING_GRACE_TIME
         {
             self.listing = OwnListing::Dropped;
--- a/crates/proxy/src/control/plan.rs
+++ b/crates/proxy/src/control/plan.rs
@@ -36,7 +36,7 @@
 /// An action that control plans and the adapter carries out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ControlAction {
-    /// Registers this host in the store again, after others removed its entry.
+    /// Registers this host in the store again, after others marked or removed its entry.
     RegisterHost,
     /// Writes the entry of this host again, which the store has lost.
     RestoreHost,
@@ -130,6 +130,10 @@
             actions.push(ControlAction::RegisterHost);
             return actions;
         }
+        if matches!(self.listing, OwnListing::Marked(_)) {
+            // A mark is taken back; its number shows that to those who would remove the entry.
+            actions.push(ControlAction::RegisterHost);
+        }
         if self.listing == OwnListing::Lost {
             self.plan_restored_host(now, &mut actions);
         }
--- a/crates/proxy/src/departures.rs
+++ b/crates/proxy/src/departures.rs
@@ -4,11 +4,11 @@
 //! A host may vanish for good: its machine is removed, or replaced by one with
 //! another name. Its entry would stay in the list, and its run would stay among
 //! the holders of terms. A few other hosts therefore watch each entry. An entry
-//! whose host they cannot reach for some minutes is first marked as leaving, so
-//! that the host gets no new work, and removed much later. By then a host that
-//! is still alive has either seen the mark, released what it holds and
-//! registered itself again, or its leases have expired. A run that is not listed
-//! therefore holds no lease.
+//! whose host nobody reaches is first marked as leaving, within seconds by
+//! [`crate::members`] or within minutes here, so that the host gets no new work, and
+//! removed minutes later. By then a host that is still alive has either seen the mark
+//! and registered itself again, which takes the mark back, or its leases have
+//! expired. A run that is not listed therefore holds no lease.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -41,16 +41,16 @@
 /// Counts the missed probes of the entries that a host watches.
 #[derive(Debug, Default)]
 pub struct DepartureDetector {
-    /// Consecutive missed probes by run and by whether the entry is marked as
-    /// leaving.
-    missed_probes: BTreeMap<(RunName, bool), u32>,
+    /// Consecutive missed probes by run, by whether the entry is marked as leaving, and by
+    /// the number of the mark: a host that took its mark back counts anew.
+    missed_probes: BTreeMap<(RunName, bool, u64), u32>,
 }
 
 impl DepartureDetector {
     /// Records whether a probe reached the host of an entry. Returns the step to
     /// take, again after each missed probe until the entry has changed.
     pub fn record_probe(&mut self, entry: &HostEntry, reached: bool) -> Option<DepartureStep> {
-        let key = (entry.run.clone(), entry.leaving);
+        let key = (entry.run.clone(), entry.leaving, entry.mark);
         if reached {
             self.missed_probes.remove(&key);
             return None;
@@ -67,10 +67,10 @@
 
     /// Drops the counts of entries that are no longer listed as they were.
     pub fn retain(&mut self, listed: &[HostEntry]) {
-        self.missed_probes.retain(|(run, leaving), _| {
+        self.missed_probes.retain(|(run, leaving, mark), _| {
             listed
                 .iter()
-                .any(|entry| entry.run == *run && entry.leaving == *leaving)
+                .any(|entry| entry.run == *run && entry.leaving == *leaving && entry.mark == *mark)
         });
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod history;
 pub mod leaving;
 pub mod limits;
+pub mod members;
 pub mod owner;
 pub mod peers;
 pub mod port;
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -9,7 +9,7 @@
 use fulmarrill_position::{DatabaseName, LogPoint, Term};
 use fulmarrill_records::JournalRecord;
 
-use crate::catalogue::{InstanceId, RunName};
+use crate::catalogue::{HostName, InstanceId, RunName};
 use crate::limits::{SpendReport, Verdicts};
 use crate::relay::update::{ViewRequest, ViewUpdate};
 use crate::work::{OwnerHint, WorkAnswer, WorkRequest};
@@ -41,6 +41,8 @@
     Spend(SpendReport),
     /// Asks whether the called host reaches an instance.
     Reach(InstanceId),
+    /// Asks whether the called host is this one, or reaches it.
+    Probe(HostName),
     /// Hands a change of primary over to the called host, because the calling host
     /// could not reserve it in the store.
     HandChange {
@@ -74,7 +76,7 @@
     Position(Option<(Duration, LogPoint)>),
     /// The answer to a long poll.
     Update(Box<ViewUpdate>),
-    /// Whether the called host reaches the instance.
+    /// Whether the called host reaches the instance, or the host.
     Reaches(bool),
     /// The customers that are over their limits.
     Verdicts(Verdicts),
@@ -93,7 +95,7 @@
 pub struct ProxyProtocol;
 
 impl LinkProtocol for ProxyProtocol {
-    const VERSION: u16 = 4;
+    const VERSION: u16 = 5;
     type Call = ProxyCall;
     type Reply = ProxyReply;
     type WireCall = wire::WireCall;
--- a/crates/proxy/src/peers/pool.rs
+++ b/crates/proxy/src/peers/pool.rs
@@ -36,6 +36,8 @@
     host: CompactString,
     links: Mutex<HashMap<CompactString, LinkCell>>,
     avoided: Mutex<HashSet<CompactString>>,
+    /// When something was last received from the host at an address.
+    heard: Mutex<HashMap<CompactString, Instant>>,
 }
 
 impl PeerPool {
@@ -46,6 +48,7 @@
             host: host.into(),
             links: Mutex::default(),
             avoided: Mutex::default(),
+            heard: Mutex::default(),
         })
     }
 
@@ -64,6 +67,25 @@
         self.avoided().contains(address)
     }
 
+    /// Records that something was received from the host at `address`.
+    pub fn record_heard(&self, address: &str) {
+        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        match heard.get_mut(address) {
+            Some(at) => *at = now,
+            None => {
+                heard.insert(address.into(), now);
+            }
+        }
+    }
+
+    /// When something was last received from the host at `address`.
+    #[must_use]
+    pub fn heard_at(&self, address: &str) -> Option<Instant> {
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        heard.get(address).copied()
+    }
+
     /// Calls the host at `address`.
     ///
     /// # Errors
@@ -84,6 +106,9 @@
             }
         };
         let result = link.call(call, deadline).await;
+        if result.is_ok() {
+            self.record_heard(address);
+        }
         if let Err(error) = &result
             && link.is_closed()
         {
--- a/crates/proxy/src/peers/wire.rs
+++ b/crates/proxy/src/peers/wire.rs
@@ -249,6 +249,9 @@
     /// Asks whether an instance is reached.
     #[serde(rename = "h")]
     Reach(CompactString),
+    /// Asks whether a host is reached.
+    #[serde(rename = "b")]
+    Probe(CompactString),
     /// Hands over a change of primary, with the term that ends.
     #[serde(rename = "t")]
     HandChange(DatabaseName, Term),
@@ -267,6 +270,7 @@
                 Self::Spend(report.lines.into_iter().map(to_wire_spend).collect())
             }
             ProxyCall::Reach(instance) => Self::Reach(instance),
+            ProxyCall::Probe(host) => Self::Probe(host),
             ProxyCall::RequestUpdate(request) => Self::RequestUpdate(request),
             ProxyCall::TermWritten => Self::TermWritten,
             ProxyCall::HandChange { database, term } => Self::HandChange(database, term),
@@ -289,6 +293,7 @@
                 lines: lines.into_iter().map(from_wire_spend).collect(),
             }),
             WireCall::Reach(instance) => Self::Reach(instance),
+            WireCall::Probe(host) => Self::Probe(host),
             WireCall::RequestUpdate(request) => Self::RequestUpdate(request),
             WireCall::TermWritten => Self::TermWritten,
             WireCall::HandChange(database, term) => Self::HandChange { database, term },
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -25,6 +25,7 @@
 use crate::entry::session::serve_caller;
 use crate::leaving::LeaveStage;
 use crate::limits::run_reports;
+use crate::members::reaches_host;
 use crate::peers::{LINK_TIMING, ProxyCall, ProxyProtocol, ProxyReply};
 use crate::records::{RequestCopy, run_record_copies};
 use crate::relay::update::answer_request;
@@ -289,6 +290,9 @@
             ProxyReply::Position(known.map(|(as_of, point)| (BootTime::now().since(as_of), point)))
         }
         ProxyCall::RequestUpdate(request) => {
+            if let Some(host) = context.view.load().host(from) {
+                context.peers.record_heard(&host.address);
+            }
             ProxyReply::Update(Box::new(answer_request(context, request).await))
         }
         ProxyCall::TermWritten => {
@@ -299,6 +303,7 @@
         ProxyCall::Reach(instance) => {
             ProxyReply::Reaches(context.owners.can_reach(&instance).await)
         }
+        ProxyCall::Probe(host) => ProxyReply::Reaches(reaches_host(context, &host).await),
         ProxyCall::HandChange { database, term } => {
             log::info!("{database}: {from} handed over the change of primary");
             let event = ControlEvent::ChangeHandedOver { database, term };
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -55,6 +55,7 @@
         region: "north".into(),
         leaving: false,
         tier: 0,
+        mark: 0,
     }
 }
 
--- a/crates/proxy/tests/departures.rs
+++ b/crates/proxy/tests/departures.rs
@@ -19,6 +19,7 @@
         region: "north".into(),
         leaving: false,
         tier: 0,
+        mark: 0,
     }
 }
 
@@ -119,3 +120,16 @@
     let watched = entries_watched_by(&view, "h2");
     assert!(watched.iter().any(|entry| entry.name == "h1"));
 }
+
+/// Guards against an entry that is removed soon after its host took a mark back: the host may
+/// have a lease.
+#[test]
+fn missed_probes_of_an_earlier_mark_do_not_count() {
+    let mut detector = DepartureDetector::default();
+    let mut marked = host("h1", "north-1");
+    (marked.leaving, marked.mark) = (true, 1);
+    detector.record_probe(&marked, false);
+    detector.record_probe(&marked, false);
+    marked.mark = 2;
+    assert_eq!(detector.record_probe(&marked, false), None);
+}
--- a/crates/proxy/tests/era.rs
+++ b/crates/proxy/tests/era.rs
@@ -24,6 +24,7 @@
         region: "north".into(),
         leaving: false,
         tier: 0,
+        mark: 0,
     }
 }
 
--- a/crates/proxy/tests/leases.rs
+++ b/crates/proxy/tests/leases.rs
@@ -87,6 +87,8 @@
     RemovesAtOnce,
     /// Hosts do not learn how they are listed.
     IgnoresHostList,
+    /// An entry is removed by the age of an earlier mark, which its host took back.
+    CountsEarlierMark,
 }
 
 fn run_of(host: usize) -> RunName {
@@ -102,6 +104,7 @@
         region: "north".into(),
         leaving: false,
         tier: 0,
+        mark: 0,
     }
 }
 
@@ -118,6 +121,8 @@
     answers: Vec<VecDeque<PendingAnswer>>,
     /// Listed hosts, each with the moment of its mark, if any.
     listed: BTreeMap<usize, Option<BootTime>>,
+    /// Moment of the first mark of each host.
+    first_marks: BTreeMap<usize, BootTime>,
     /// Holders that have not confirmed the release of the term that ends.
     awaited_holders: BTreeSet<RunName>,
     /// When every lease on that term has expired.
@@ -151,6 +156,7 @@
             hosts: hosts.collect(),
             answers: vec![VecDeque::new(); HOSTS],
             listed: (0..HOSTS).map(|index| (index, None)).collect(),
+            first_marks: BTreeMap::new(),
             awaited_holders: BTreeSet::new(),
             leases_expire_at: now,
             promotions: 0,
@@ -170,6 +176,7 @@
             Step::Mark(host) => {
                 if let Some(marked) = self.listed.get_mut(&host) {
                     marked.get_or_insert(self.now);
+                    self.first_marks.entry(host).or_insert(self.now);
                 }
             }
             Step::Remove(host) => self.remove(host),
@@ -218,8 +225,11 @@
         let Some(Some(marked_at)) = self.listed.get(&host) else {
             return;
         };
-        if self.now.since(*marked_at) >= REMOVAL_TIME || self.fault == InjectedFault::RemovesAtOnce
-        {
+        let mut marked_at = *marked_at;
+        if self.fault == InjectedFault::CountsEarlierMark {
+            marked_at = self.first_marks[&host];
+        }
+        if self.now.since(marked_at) >= REMOVAL_TIME || self.fault == InjectedFault::RemovesAtOnce {
             self.listed.remove(&host);
         }
     }
@@ -373,10 +383,21 @@
     Step::Deliver(0),
 ];
 
+/// A host took its mark back, extended its lease, and is marked again.
+const MARKED_AGAIN: [Step; 6] = [
+    Step::Mark(0),
+    Step::Wait(LONG_WAIT_MS),
+    Step::Register(0),
+    Step::Ask(0),
+    Step::Deliver(0),
+    Step::Mark(0),
+];
+
 /// Random schedules rarely contain these steps in this order.
 #[rstest::rstest]
 #[case::removed_with_lease(&REMOVED_WITH_LEASE, InjectedFault::RemovesAtOnce)]
 #[case::resumed_before_removal(&RESUMED_BEFORE_REMOVAL, InjectedFault::IgnoresHostList)]
+#[case::marked_again(&MARKED_AGAIN, InjectedFault::CountsEarlierMark)]
 fn unlisted_host_may_not_use_primary(#[case] before: &[Step], #[case] fault: InjectedFault) {
     let steps: Vec<Step> = before.iter().chain(&REMOVE_AND_PROMOTE).copied().collect();
     assert_eq!(run_schedule(InjectedFault::Nothing, &steps).0, None);
--- a/crates/proxy/tests/records.rs
+++ b/crates/proxy/tests/records.rs
@@ -21,6 +21,7 @@
         region: "vychod".into(),
         leaving: false,
         tier: 0,
+        mark: 0,
     }
 }
 
--- a/crates/proxy/tests/routes.rs
+++ b/crates/proxy/tests/routes.rs
@@ -21,6 +21,7 @@
         region: format_compact!("region-{}", index % 2),
         leaving: false,
         tier: 0,
+        mark: 0,
     }
 }
 
