Send large messages in pieces, and a configuration as what changed

Cause: each version went whole and in one message to every host that polled it, and a link counted as dead when no whole message had arrived for 600 ms. A message that took longer closed the link, with all calls on it, and began anew.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -20,11 +20,14 @@
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
 use crate::frame::{LinkFrame, LinkProtocol, WireError, decode_frame, encode_frame};
-use crate::stream::{LinkStream, link_config};
+use crate::pieces::{PIECE_SIZE, PieceBuffer, PieceQueue, QueuedFrame};
+use crate::stream::{LinkStream, MeteredStream, ReceiveClock, link_config, next_message};
 
 /// Frames that may wait to be written. A call fails while that many do. The queue
 /// itself is unbounded, since a bounded one takes the memory of all its places.
 const QUEUE_FRAMES_MAX: usize = 4096;
+/// Time between two looks at whether a reply still arrives.
+const ARRIVAL_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Why a call got no reply.
 #[derive(Debug, Error)]
@@ -69,7 +72,7 @@
     /// Time without an outgoing frame after which the side that connected sends a
     /// ping. The other side answers it, so both know that the link is alive.
     pub ping_interval: Duration,
-    /// Time without a received message after which the link is closed.
+    /// Time without a received byte after which the link is closed.
     pub receive_timeout: Duration,
     /// Receive timeout while a call waits for its reply. A ping is sent after
     /// half of it, to tell a slow reply from a dead link.
@@ -102,7 +105,9 @@
 #[derive(Debug)]
 struct LinkShared<R> {
     closed: AtomicBool,
-    received_at: Mutex<Instant>,
+    clock: ReceiveClock,
+    /// Calls whose replies have begun to arrive, and when their last piece did.
+    arriving: Mutex<HashMap<u64, Instant>>,
     pending: Mutex<HashMap<u64, Sender<CallResult<R>>>>,
 }
 
@@ -111,6 +116,10 @@
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn arriving(&self) -> MutexGuard<'_, HashMap<u64, Instant>> {
+        self.arriving.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Marks the link closed and fails every waiting call.
     fn close(&self) {
         self.closed.store(true, Ordering::SeqCst);
@@ -124,7 +133,7 @@
     shared: Arc<LinkShared<P::Reply>>,
     next_id: AtomicU64,
     timing: LinkTiming,
-    outgoing: Sender<Vec<u8>>,
+    outgoing: Sender<QueuedFrame>,
     _task: smol::Task<()>,
 }
 
@@ -159,31 +168,43 @@
             stream.set_nodelay(true).ok();
             let url = format!("ws://{address}/peer");
             let config = Some(link_config());
+            let stream = MeteredStream::new(stream);
+            let clock = stream.clock();
             let (stream, _) = client_async_with_config(url, stream.compat(), config)
                 .await
                 .map_err(|error| connect_error(error.to_string()))?;
-            Ok(stream)
+            Ok((stream, clock))
         };
         let timeout = async {
             Timer::at(deadline).await;
             Err(connect_error("no answer before the deadline".to_owned()))
         };
-        let stream = connect.or(timeout).await?;
+        let (stream, clock) = connect.or(timeout).await?;
         let hello = LinkFrame::Hello {
             version: P::VERSION,
             host: host.into(),
         };
-        Ok(Self::start(stream, encode_frame::<P>(&hello)?, timing))
+        Ok(Self::start(
+            stream,
+            clock,
+            encode_frame::<P>(&hello)?,
+            timing,
+        ))
     }
 
-    fn start(stream: LinkStream, hello: Vec<u8>, timing: LinkTiming) -> Self {
+    fn start(stream: LinkStream, clock: ReceiveClock, hello: Vec<u8>, timing: LinkTiming) -> Self {
         let (sink, source) = stream.split();
         let (outgoing, frames) = async_channel::unbounded();
         let shared = Arc::new(LinkShared {
             closed: AtomicBool::new(false),
-            received_at: Mutex::new(Instant::now()),
+            clock,
+            arriving: Mutex::default(),
             pending: Mutex::default(),
         });
+        let hello = QueuedFrame {
+            id: 0,
+            bytes: hello,
+        };
         outgoing.try_send(hello).ok();
         let task_shared = shared.clone();
         let task = fulmarrill_runtime::spawn(async move {
@@ -207,11 +228,16 @@
         self.shared.closed.load(Ordering::SeqCst)
     }
 
-    /// Whether a message was received at or after `since`.
+    /// Whether anything was received at or after `since`.
     #[must_use]
     pub fn received_since(&self, since: Instant) -> bool {
-        let received_at = self.shared.received_at.lock();
-        *received_at.unwrap_or_else(PoisonError::into_inner) >= since
+        self.shared.clock.received_at() >= since
+    }
+
+    /// Whether a large reply is arriving.
+    #[must_use]
+    pub fn is_receiving(&self) -> bool {
+        !self.shared.arriving().is_empty()
     }
 
     /// Closes the link; waiting calls fail with [`LinkError::Lost`].
@@ -227,6 +253,28 @@
     /// When no reply comes; [`LinkError::may_have_arrived`] tells whether the
     /// other host may have received the call.
     pub async fn call(&self, call: P::Call, deadline: Instant) -> Result<P::Reply, LinkError> {
+        self.call_until(call, deadline, false).await
+    }
+
+    /// Like [`Self::call`], but a reply that has begun to arrive is received to its end.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::call`].
+    pub async fn call_for_large_reply(
+        &self,
+        call: P::Call,
+        deadline: Instant,
+    ) -> Result<P::Reply, LinkError> {
+        self.call_until(call, deadline, true).await
+    }
+
+    async fn call_until(
+        &self,
+        call: P::Call,
+        deadline: Instant,
+        finishes_reply: bool,
+    ) -> Result<P::Reply, LinkError> {
         if self.is_closed() {
             return Err(LinkError::Down);
         }
@@ -241,6 +289,7 @@
         // and the insertion; checked again, so that no call waits on a closed
         // link.
         let is_full = self.outgoing.len() >= QUEUE_FRAMES_MAX;
+        let frame = QueuedFrame { id, bytes: frame };
         if self.is_closed() || is_full || self.outgoing.try_send(frame).is_err() {
             self.shared.pending().remove(&id);
             return Err(LinkError::Down);
@@ -251,14 +300,24 @@
         };
         let timeout = async {
             Timer::at(deadline).await;
+            while finishes_reply && self.is_arriving(id) {
+                Timer::after(ARRIVAL_POLL_INTERVAL).await;
+            }
             None
         };
         let reply = async { reply.recv().await.ok() };
         let reply = reply.or(timeout).or(receive_timeout).await;
         self.shared.pending().remove(&id);
+        self.shared.arriving().remove(&id);
         reply.ok_or(LinkError::Lost)?.map_err(LinkError::NoReply)
     }
 
+    /// Whether a piece of the reply to a call has arrived within the receive timeout.
+    fn is_arriving(&self, id: u64) -> bool {
+        let arrived_at = self.shared.arriving().get(&id).copied();
+        arrived_at.is_some_and(|at| at.elapsed() < self.timing.call_receive_timeout)
+    }
+
     /// Closes the link and returns once nothing was received for the receive
     /// timeout of a waiting call.
     async fn watch_receive_timeout(&self) {
@@ -268,7 +327,8 @@
             Timer::at(since + timeout / 2).await;
             if !self.received_since(since) {
                 // An empty frame is sent as a ping.
-                self.outgoing.try_send(Vec::new()).ok();
+                let (id, bytes) = (0, Vec::new());
+                self.outgoing.try_send(QueuedFrame { id, bytes }).ok();
                 Timer::at(since + timeout).await;
             }
             if !self.received_since(since) {
@@ -285,24 +345,26 @@
     shared: &LinkShared<P::Reply>,
     timing: LinkTiming,
 ) {
+    let mut pieces = PieceBuffer::default();
     loop {
-        let receive_timeout = async {
-            Timer::after(timing.receive_timeout).await;
-            None
-        };
-        let Some(Ok(message)) = source.next().or(receive_timeout).await else {
+        let receiving = next_message(&mut source, &shared.clock, timing.receive_timeout);
+        let Some(message) = receiving.await else {
             return;
         };
-        *shared
-            .received_at
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = Instant::now();
         let Message::Binary(bytes) = message else {
             continue;
         };
-        let (id, result) = match decode_frame::<P>(&bytes) {
-            Ok(LinkFrame::Reply { id, reply }) => (id, Ok(reply.into())),
-            Ok(LinkFrame::NoReply { id, why }) => (id, Err(why)),
+        let frame = decode_frame::<P>(&bytes);
+        if let Ok(LinkFrame::Piece { id, .. }) = &frame {
+            let is_awaited = shared.pending().contains_key(id);
+            if is_awaited {
+                shared.arriving().insert(*id, Instant::now());
+            }
+        }
+        let whole = frame.and_then(|frame| pieces.take(frame, decode_frame::<P>));
+        let (id, result) = match whole {
+            Ok(Some(LinkFrame::Reply { id, reply })) => (id, Ok(reply.into())),
+            Ok(Some(LinkFrame::NoReply { id, why })) => (id, Err(why)),
             Ok(_) => continue,
             Err(error) => {
                 log::warn!("peer link closed: {error}");
@@ -326,13 +388,38 @@
 }
 
 /// Writes queued frames, and a ping when none is queued for the ping interval, if
-/// there is one.
+/// there is one. Large frames are written in pieces, and small ones go before each piece.
 pub(crate) async fn write_frames(
     mut sink: SplitSink<LinkStream, Message>,
-    frames: Receiver<Vec<u8>>,
+    frames: Receiver<QueuedFrame>,
     ping_interval: Option<Duration>,
 ) {
+    let mut large = PieceQueue::default();
     loop {
+        let mut is_idle = true;
+        while let Ok(frame) = frames.try_recv() {
+            is_idle = false;
+            if frame.bytes.len() > PIECE_SIZE {
+                large.push(frame);
+            } else if sink.feed(to_message(frame.bytes)).await.is_err() {
+                return;
+            }
+        }
+        if let Some(piece) = large.next_piece() {
+            is_idle = false;
+            // Only plain bytes are encoded, which always succeeds.
+            if let Ok(piece) = piece
+                && sink.feed(Message::binary(piece)).await.is_err()
+            {
+                return;
+            }
+        }
+        if !is_idle {
+            if sink.flush().await.is_err() {
+                return;
+            }
+            continue;
+        }
         let ping_due = async {
             match ping_interval {
                 Some(interval) => Timer::after(interval).await,
@@ -341,19 +428,15 @@
             None
         };
         let message = match async { Some(frames.recv().await) }.or(ping_due).await {
-            Some(Ok(frame)) => to_message(frame),
+            Some(Ok(frame)) if frame.bytes.len() > PIECE_SIZE => {
+                large.push(frame);
+                continue;
+            }
+            Some(Ok(frame)) => to_message(frame.bytes),
             Some(Err(_)) => return,
             None => Message::Ping(Vec::new().into()),
         };
-        if sink.feed(message).await.is_err() {
-            return;
-        }
-        while let Ok(frame) = frames.try_recv() {
-            if sink.feed(to_message(frame)).await.is_err() {
-                return;
-            }
-        }
-        if sink.flush().await.is_err() {
+        if sink.feed(message).await.is_err() || sink.flush().await.is_err() {
             return;
         }
     }
--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -7,6 +7,9 @@
 
 use crate::stream::MESSAGE_SIZE_MAX;
 
+/// Bytes that the encoding of a piece adds at most.
+const PIECE_OVERHEAD: usize = 32;
+
 /// Why a frame cannot be decoded or encoded.
 #[derive(Debug, Error)]
 pub enum WireError {
@@ -69,6 +72,19 @@
         /// Why there is no reply.
         why: CompactString,
     },
+    /// A part of a large frame.
+    #[serde(rename = "P")]
+    Piece {
+        /// Number of the call that the large frame belongs to.
+        #[serde(rename = "i")]
+        id: u64,
+        /// Whether it is the last part.
+        #[serde(rename = "l")]
+        is_last: bool,
+        /// The bytes.
+        #[serde(rename = "b", with = "serde_bytes")]
+        bytes: Vec<u8>,
+    },
 }
 
 /// Frame type of a protocol.
@@ -90,6 +106,22 @@
     Ok(bytes)
 }
 
+/// Encodes a part of a large frame.
+///
+/// # Errors
+///
+/// When it cannot be serialized.
+pub(crate) fn encode_piece(id: u64, is_last: bool, bytes: &[u8]) -> Result<Vec<u8>, WireError> {
+    let frame = LinkFrame::<(), ()>::Piece {
+        id,
+        is_last,
+        bytes: bytes.to_vec(),
+    };
+    let mut encoded = Vec::with_capacity(bytes.len() + PIECE_OVERHEAD);
+    ciborium::into_writer(&frame, &mut encoded)?;
+    Ok(encoded)
+}
+
 /// Decodes a frame and checks the version of a hello.
 ///
 /// # Errors
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -32,6 +32,7 @@
 
 mod client;
 mod frame;
+mod pieces;
 mod server;
 mod stream;
 
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -16,7 +16,8 @@
 
 use crate::client::{LinkTiming, write_frames};
 use crate::frame::{LinkFrame, LinkProtocol, decode_frame, encode_frame};
-use crate::stream::{LinkStream, link_config};
+use crate::pieces::{PieceBuffer, QueuedFrame};
+use crate::stream::{LinkStream, MeteredStream, link_config, next_message};
 
 /// Pause after a link could not be accepted, for example because the process has too
 /// many open files.
@@ -79,6 +80,8 @@
     F: Future<Output = P::Reply> + Send + 'static,
 {
     stream.set_nodelay(true).ok();
+    let stream = MeteredStream::new(stream);
+    let clock = stream.clock();
     let accepting = async {
         accept_async_with_config(stream.compat(), Some(link_config()))
             .await
@@ -99,19 +102,18 @@
     // Each reply waits anyway, here or in the task that made it.
     let (outgoing, frames) = async_channel::unbounded();
     let reading = async {
+        let mut pieces = PieceBuffer::default();
         loop {
-            let receive_timeout = async {
-                Timer::after(timing.receive_timeout).await;
-                None
-            };
-            let Some(Ok(message)) = source.next().or(receive_timeout).await else {
+            let receiving = next_message(&mut source, &clock, timing.receive_timeout);
+            let Some(message) = receiving.await else {
                 return;
             };
             let Message::Binary(bytes) = message else {
                 continue;
             };
-            match decode_frame::<P>(&bytes) {
-                Ok(LinkFrame::Call { id, call }) => {
+            let frame = decode_frame::<P>(&bytes);
+            match frame.and_then(|frame| pieces.take(frame, decode_frame::<P>)) {
+                Ok(Some(LinkFrame::Call { id, call })) => {
                     let work = handler(host.clone(), call.into());
                     fulmarrill_runtime::spawn(send_reply::<P>(id, work, outgoing.clone())).detach();
                 }
@@ -152,7 +154,7 @@
 async fn send_reply<P: LinkProtocol>(
     id: u64,
     work: impl Future<Output = P::Reply>,
-    outgoing: Sender<Vec<u8>>,
+    outgoing: Sender<QueuedFrame>,
 ) {
     let reply = work.await.into();
     let frame = encode_frame::<P>(&LinkFrame::Reply { id, reply }).or_else(|error| {
@@ -160,7 +162,7 @@
         let why = error.to_string().into();
         encode_frame::<P>(&LinkFrame::NoReply { id, why })
     });
-    if let Ok(frame) = frame {
-        outgoing.send(frame).await.ok();
+    if let Ok(bytes) = frame {
+        outgoing.send(QueuedFrame { id, bytes }).await.ok();
     }
 }
--- a/crates/proxy/src/catalogue.rs
+++ b/crates/proxy/src/catalogue.rs
@@ -286,6 +286,12 @@
 /// A term record with its version, as hosts send it to each other.
 pub type VersionedTerm = (TermRecord, ObjectVersion);
 
+impl ListEntry for EndpointEntry {
+    fn key(&self) -> &CompactString {
+        &self.name
+    }
+}
+
 impl ListEntry for InstanceEntry {
     fn key(&self) -> &CompactString {
         &self.id
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -16,13 +16,13 @@
 use fulmarrill_spread::{KnownVersions, ListVersion, StoreRevision, UNREAD_DIGEST};
 
 use crate::catalogue::{
-    EndpointTable, HostEntry, HostName, InstanceEntry, InstanceId, ObjectVersion, RunName,
-    TermRecord, VersionedTerm,
+    EndpointEntry, EndpointTable, HostEntry, HostName, InstanceEntry, InstanceId, ObjectVersion,
+    RunName, TermRecord, VersionedTerm,
 };
 use crate::clock::BootTime;
 use crate::control::outdated::OutdatedInstances;
 use crate::control::plan::ChangeReason;
-use crate::history::ListChanges;
+use crate::history::{ListChanges, ListHistory};
 use crate::view::routes::RouteIndex;
 use crate::view::{TermView, TrafficView, ViewHistory, digest_of};
 
@@ -39,6 +39,9 @@
 /// Time after which a record that the store has lost may be written again: longer than an
 /// order to promote can arrive after the store has shown its reservation for the last time.
 pub const QUIET_TIME: Duration = Duration::from_millis(3500);
+/// Changed endpoints that are kept for hosts with an earlier configuration: some growths by a
+/// thousand each.
+const ENDPOINT_CHANGES_MAX: usize = 8192;
 /// Least time between two writes of this host's entry after the store has lost it, and
 /// longest delay of the first.
 const RESTORE_INTERVAL: Duration = Duration::from_secs(1);
@@ -195,6 +198,7 @@
     lost_until: Option<Instant>,
     versions: KnownVersions,
     history: Arc<ViewHistory>,
+    endpoint_history: Arc<ListHistory<EndpointEntry>>,
     terms_read: bool,
     hosts_read: bool,
     released_terms: BTreeMap<DatabaseName, Term>,
@@ -247,6 +251,9 @@
             lost_until: None,
             versions: KnownVersions::default(),
             history: Arc::default(),
+            endpoint_history: Arc::new(
+                ListHistory::default().with_entries_max(ENDPOINT_CHANGES_MAX),
+            ),
             terms_read: false,
             hosts_read: false,
             released_terms: BTreeMap::new(),
@@ -290,6 +297,7 @@
             lost_hosts: self.lost_hosts.clone(),
             versions: self.versions,
             history: self.history.clone(),
+            endpoint_history: self.endpoint_history.clone(),
         }
     }
 
@@ -304,6 +312,7 @@
                     .is_none_or(|held| table.version > held.version);
                 if newer {
                     log::info!("configuration {} is in force", table.version);
+                    self.record_endpoints(&table);
                     self.versions.configuration = table.version;
                     self.endpoints = Some(Arc::new(table));
                 }
@@ -373,6 +382,16 @@
         }
     }
 
+    /// Records what changes with a new configuration.
+    fn record_endpoints(&mut self, table: &EndpointTable) {
+        let Some(held) = &self.endpoints else {
+            return;
+        };
+        let changes = ListChanges::between(held.endpoints.values(), table.endpoints.values());
+        let history = Arc::make_mut(&mut self.endpoint_history);
+        history.record(held.version, table.version, changes);
+    }
+
     /// Takes note of an era of the store. Returns whether it is a new one.
     pub fn learn_era(&mut self, now: Instant, era: u64) -> bool {
         let known = self.versions.era;
@@ -459,7 +478,7 @@
         // All hosts use the same order, since they compare digests of lists.
         list.sort_by(|a, b| a.id.cmp(&b.id));
         let digest = digest_of(&list);
-        let changes = ListChanges::between(&self.listed_instances, &list);
+        let changes = ListChanges::between(&*self.listed_instances, &list);
         let history = Arc::make_mut(&mut self.history);
         history
             .instances
@@ -527,7 +546,7 @@
         let digest = digest_of(&list);
         let is_later_era = revision.era > self.versions.hosts.revision.era;
         self.note_lost_hosts(now, &list, is_later_era);
-        let changes = ListChanges::between(&self.listed_hosts, &list);
+        let changes = ListChanges::between(&*self.listed_hosts, &list);
         let history = Arc::make_mut(&mut self.history);
         history
             .hosts
--- a/crates/proxy/src/history.rs
+++ b/crates/proxy/src/history.rs
@@ -12,7 +12,8 @@
 
 /// Steps kept; downstream hosts are at most a few steps behind.
 const STEPS_MAX: usize = 64;
-/// Entries kept in all steps together; beyond that the whole list is cheaper.
+/// Entries kept in all steps together, if nothing else is set; beyond that the whole list is
+/// cheaper.
 const ENTRIES_MAX: usize = 2048;
 
 /// An entry of a list that is identified by a key.
@@ -33,9 +34,15 @@
 impl<T: ListEntry + Clone + PartialEq> ListChanges<T> {
     /// Computes the changes that lead from `old` to `new`.
     #[must_use]
-    pub fn between(old: &[T], new: &[T]) -> Self {
+    pub fn between<'a>(
+        old: impl IntoIterator<Item = &'a T>,
+        new: impl IntoIterator<Item = &'a T>,
+    ) -> Self
+    where
+        T: 'a,
+    {
         let mut remaining: BTreeMap<&CompactString, &T> = BTreeMap::new();
-        remaining.extend(old.iter().map(|entry| (entry.key(), entry)));
+        remaining.extend(old.into_iter().map(|entry| (entry.key(), entry)));
         let mut changed = Vec::new();
         for entry in new {
             if remaining.remove(entry.key()) != Some(entry) {
@@ -76,6 +83,7 @@
 pub struct ListHistory<T> {
     steps: VecDeque<ListStep<T>>,
     entries: usize,
+    entries_max: usize,
 }
 
 impl<T> Default for ListHistory<T> {
@@ -83,11 +91,19 @@
         Self {
             steps: VecDeque::new(),
             entries: 0,
+            entries_max: ENTRIES_MAX,
         }
     }
 }
 
 impl<T: ListEntry + Clone + PartialEq> ListHistory<T> {
+    /// Sets how many entries are kept in all steps together.
+    #[must_use]
+    pub fn with_entries_max(mut self, entries_max: usize) -> Self {
+        self.entries_max = entries_max;
+        self
+    }
+
     /// Records a step. One that does not begin at the digest of the last step's
     /// end discards all earlier steps.
     pub fn record(&mut self, from: u64, to: u64, changes: ListChanges<T>) {
@@ -100,7 +116,7 @@
         }
         self.entries += changes.len();
         self.steps.push_back(ListStep { from, to, changes });
-        while self.steps.len() > STEPS_MAX || self.entries > ENTRIES_MAX {
+        while self.steps.len() > STEPS_MAX || self.entries > self.entries_max {
             let Some(step) = self.steps.pop_front() else {
                 return;
             };
--- a/crates/proxy/src/peers/pool.rs
+++ b/crates/proxy/src/peers/pool.rs
@@ -97,6 +97,40 @@
         address: &str,
         call: ProxyCall,
         deadline: Instant,
+    ) -> Result<ProxyReply, LinkError> {
+        self.call_until(address, call, deadline, false).await
+    }
+
+    /// Like [`Self::call`], but a reply that has begun to arrive is received to its end.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::call`].
+    pub async fn call_for_large_reply(
+        self: &Arc<Self>,
+        address: &str,
+        call: ProxyCall,
+        deadline: Instant,
+    ) -> Result<ProxyReply, LinkError> {
+        self.call_until(address, call, deadline, true).await
+    }
+
+    /// Whether the host at `address` is sending a large reply.
+    pub async fn is_receiving(&self, address: &str) -> bool {
+        let cell = self.links().get(address).cloned();
+        let Some(cell) = cell else {
+            return false;
+        };
+        let link = cell.lock().await.clone();
+        link.is_some_and(|link| !link.is_closed() && link.is_receiving())
+    }
+
+    async fn call_until(
+        self: &Arc<Self>,
+        address: &str,
+        call: ProxyCall,
+        deadline: Instant,
+        finishes_reply: bool,
     ) -> Result<ProxyReply, LinkError> {
         let link = match self.link(address, deadline).await {
             Ok(link) => link,
@@ -105,7 +139,11 @@
                 return Err(error);
             }
         };
-        let result = link.call(call, deadline).await;
+        let result = if finishes_reply {
+            link.call_for_large_reply(call, deadline).await
+        } else {
+            link.call(call, deadline).await
+        };
         if result.is_ok() {
             self.record_heard(address);
         }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -45,6 +45,9 @@
 /// that has told of it.
 const PARENT_LEAD_TIME: Duration = Duration::from_millis(80);
 
+/// Longest time for which an update that the parent is sending is waited for.
+const PARENT_TRANSFER_TIME: Duration = Duration::from_secs(3);
+
 /// Waits until the view contains a list of hosts, even an empty one, but no longer
 /// than `deadline`.
 async fn wait_for_host_list(context: &SharedContext, deadline: Instant) {
@@ -145,12 +148,30 @@
         return true;
     }
     Timer::after(PARENT_LEAD_TIME).await;
+    // What the parent is sending would only be slowed down.
+    let until = Instant::now() + PARENT_TRANSFER_TIME;
+    while versions.has_news_for(&context.view.load().versions)
+        && Instant::now() < until
+        && is_parent_sending(context).await
+    {
+        Timer::after(PARENT_LEAD_TIME).await;
+    }
     if versions.has_news_for(&context.view.load().versions) {
         return fetch_state(context, control, address).await;
     }
     true
 }
 
+/// Whether the parent is sending a large update.
+async fn is_parent_sending(context: &SharedContext) -> bool {
+    for address in feed_addresses(context, FeedKind::Parent) {
+        if context.peers.is_receiving(&address).await {
+            return true;
+        }
+    }
+    false
+}
+
 /// Fetches everything that the host at `address` knows and this one does not.
 /// Returns whether it answered.
 pub async fn fetch_state(context: &SharedContext, control: &ControlSender, address: &str) -> bool {
--- a/crates/proxy/src/relay/update.rs
+++ b/crates/proxy/src/relay/update.rs
@@ -1,12 +1,13 @@
 //! Updates of a host's view that other hosts long-poll.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use fulmarrill_spread::{KnownVersions, SourceAges, UNREAD_DIGEST, is_source_news};
 use serde::{Deserialize, Serialize};
 
-use crate::catalogue::{EndpointTable, HostEntry, InstanceEntry, VersionedTerm};
+use crate::catalogue::{EndpointEntry, EndpointTable, HostEntry, InstanceEntry, VersionedTerm};
 use crate::clock::BootTime;
 use crate::context::SharedContext;
 use crate::control::{ConfirmedTimes, ControlEvent};
@@ -73,6 +74,73 @@
     }
 }
 
+/// A configuration, whole or as changes to the one that the requesting host has.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum EndpointUpdate {
+    /// The whole configuration.
+    #[serde(rename = "w")]
+    Whole(EndpointTable),
+    /// Everything but the endpoints, and the changes of these.
+    #[serde(rename = "c")]
+    Changes {
+        /// Version of the configuration to which the changes apply.
+        #[serde(rename = "b")]
+        base: u64,
+        /// The configuration without its endpoints.
+        #[serde(rename = "t")]
+        rest: EndpointTable,
+        /// The changed endpoints.
+        #[serde(rename = "e")]
+        endpoints: ListChanges<EndpointEntry>,
+    },
+}
+
+impl EndpointUpdate {
+    /// The update for a host that has version `held`.
+    #[must_use]
+    pub fn since(held: u64, view: &TrafficView) -> Option<Self> {
+        let table = view.endpoints.as_deref()?;
+        let Some(endpoints) = view.endpoint_history.since(held) else {
+            return Some(Self::Whole(table.clone()));
+        };
+        let rest = EndpointTable {
+            version: table.version,
+            endpoints: BTreeMap::new(),
+            databases: table.databases.clone(),
+            transaction_idle_time: table.transaction_idle_time,
+            customers: table.customers.clone(),
+        };
+        Some(Self::Changes {
+            base: held,
+            rest,
+            endpoints,
+        })
+    }
+
+    /// The new configuration of a host that requested this update with `held`.
+    #[must_use]
+    pub fn into_table(self, held: Option<&EndpointTable>) -> Option<EndpointTable> {
+        match self {
+            Self::Whole(table) => Some(table),
+            Self::Changes {
+                base,
+                mut rest,
+                endpoints,
+            } => {
+                let held = held.filter(|held| held.version == base)?;
+                rest.endpoints.clone_from(&held.endpoints);
+                for endpoint in endpoints.changed {
+                    rest.endpoints.insert(endpoint.name.clone(), endpoint);
+                }
+                for name in &endpoints.removed {
+                    rest.endpoints.remove(name);
+                }
+                Some(rest)
+            }
+        }
+    }
+}
+
 /// What a host knows, and what the requesting host lacks of it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ViewUpdate {
@@ -88,7 +156,7 @@
     ages: ConfirmedAges,
     /// Configuration, if it is newer.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
-    endpoints: Option<EndpointTable>,
+    endpoints: Option<EndpointUpdate>,
     /// Instances, if they are newer.
     #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
     instances: Option<ListUpdate<InstanceEntry>>,
@@ -172,7 +240,7 @@
     fn add_state(&mut self, view: &TrafficView, held: &KnownVersions) {
         let (own, history) = (&view.versions, &view.history);
         if own.configuration > held.configuration {
-            self.endpoints = view.endpoints.as_deref().cloned();
+            self.endpoints = EndpointUpdate::since(held.configuration, view);
         }
         if own.instances.replaces(held.instances) {
             self.instances = ListUpdate::for_digest(
@@ -220,7 +288,9 @@
                 list: instances.into_list(&view.listed_instances),
             });
         }
-        events.extend(self.endpoints.map(ControlEvent::Endpoints));
+        let held = view.endpoints.as_deref();
+        let table = self.endpoints.and_then(|update| update.into_table(held));
+        events.extend(table.map(ControlEvent::Endpoints));
         // The ages were measured after `asked_at`, so these times are not too late.
         let mut confirmed = self.ages.before(asked_at);
         if !knows_hosts {
@@ -301,7 +371,8 @@
     let asked_at = BootTime::now();
     let deadline = Instant::now() + wait + LONG_POLL_SLACK;
     let call = ProxyCall::RequestUpdate(request);
-    match context.peers.call(address, call, deadline).await {
+    let calling = context.peers.call_for_large_reply(address, call, deadline);
+    match calling.await {
         Ok(ProxyReply::Update(update)) => Some(ReceivedUpdate { asked_at, update }),
         Ok(_) | Err(_) => None,
     }
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -13,8 +13,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::catalogue::{
-    EndpointTable, HostEntry, HostName, InstanceEntry, InstanceId, ObjectVersion, TermRecord,
-    VersionedTerm,
+    EndpointEntry, EndpointTable, HostEntry, HostName, InstanceEntry, InstanceId, ObjectVersion,
+    TermRecord, VersionedTerm,
 };
 use crate::clock::BootTime;
 use crate::control::ConfirmedTimes;
@@ -131,6 +131,8 @@
     pub versions: KnownVersions,
     /// Latest changes of these lists.
     pub history: Arc<ViewHistory>,
+    /// Latest changes of the endpoints, by versions of the configuration.
+    pub endpoint_history: Arc<ListHistory<EndpointEntry>>,
 }
 
 impl TrafficView {
