Decode texts of every length between hosts and in records

Cause: the CBOR decoder holds a text in a buffer of 4,096 bytes and refuses longer ones. Change: frames and blocks are decoded with a buffer of their own size.

--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -9,6 +9,8 @@
 
 /// Bytes that the encoding of a piece adds at most.
 const PIECE_OVERHEAD: usize = 32;
+/// Least size of the buffer in which the decoder holds one text.
+const SCRATCH_SIZE_MIN: usize = 256;
 
 /// Why a frame cannot be decoded or encoded.
 #[derive(Debug, Error)]
@@ -128,7 +130,9 @@
 ///
 /// When the bytes are not a frame, or a hello has another version.
 pub(crate) fn decode_frame<P: LinkProtocol>(bytes: &[u8]) -> Result<FrameOf<P>, WireError> {
-    let frame: FrameOf<P> = ciborium::from_reader(bytes)?;
+    // No text is longer than its frame.
+    let mut scratch = vec![0; bytes.len().max(SCRATCH_SIZE_MIN)];
+    let frame: FrameOf<P> = ciborium::de::from_reader_with_buffer(bytes, &mut scratch)?;
     if let LinkFrame::Hello { version, .. } = &frame
         && *version != P::VERSION
     {
--- a/crates/records/src/journal.rs
+++ b/crates/records/src/journal.rs
@@ -145,8 +145,12 @@
     /// When the block is damaged.
     pub fn records(&self) -> Result<Vec<JournalRecord>, SegmentError> {
         let bytes = lz4_flex::decompress_size_prepended(&self.block)?;
-        let wire: Vec<WireRecord> = ciborium::from_reader(bytes.as_slice())
-            .map_err(|error| SegmentError::Block(error.to_string().into()))?;
+        // No text is longer than the block.
+        let mut scratch = vec![0; bytes.len()];
+        let mut reading = bytes.as_slice();
+        let wire: Vec<WireRecord> =
+            ciborium::de::from_reader_with_buffer(&mut reading, &mut scratch)
+                .map_err(|error| SegmentError::Block(error.to_string().into()))?;
         Ok(wire.into_iter().map(JournalRecord::from).collect())
     }
 
--- a/crates/records/tests/journal.rs
+++ b/crates/records/tests/journal.rs
@@ -53,6 +53,18 @@
     assert_eq!(faults(&segments()), []);
 }
 
+/// Guards against records of long statements that cannot be read back.
+#[test]
+fn records_of_long_statements_are_read_back() {
+    let mut long = record(1);
+    long.statement = "é".repeat(100_000).into();
+    let mut journal = RequestJournal::new("h1~1");
+    journal.append(long.clone());
+    journal.seal_segment().expect("sealed");
+    let segment = journal.oldest_unwritten().expect("a segment");
+    assert_eq!(segment.records().expect("readable"), [long]);
+}
+
 #[test]
 fn altered_block_is_reported() {
     let mut all = segments();
