--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -19,8 +19,8 @@
 use tokio_tungstenite::tungstenite::Message;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
-use crate::frame::{LinkFrame, LinkProtocol, WireError, decode_frame, encode_frame};
-use crate::pieces::{PIECE_SIZE, PieceBuffer, PieceQueue, QueuedFrame};
+use crate::frame::{LinkFrame, LinkProtocol, WireError, encode_frame};
+use crate::pieces::{PIECE_SIZE, PieceBuffer, PieceQueue, QueuedFrame, ReceivedFrame};
 use crate::stream::{LinkStream, MeteredStream, ReceiveClock, link_config, next_message};
 
 /// Frames that may wait to be written. A call fails while that many do. The queue
@@ -237,7 +237,9 @@
     /// Whether a large reply is arriving.
     #[must_use]
     pub fn is_receiving(&self) -> bool {
-        !self.shared.arriving().is_empty()
+        let timeout = self.timing.call_receive_timeout;
+        let arriving = self.shared.arriving();
+        arriving.values().any(|at| at.elapsed() < timeout)
     }
 
     /// Closes the link; waiting calls fail with [`LinkError::Lost`].
@@ -354,23 +356,27 @@
         let Message::Binary(bytes) = message else {
             continue;
         };
-        let frame = decode_frame::<P>(&bytes);
-        if let Ok(LinkFrame::Piece { id, .. }) = &frame {
-            let is_awaited = shared.pending().contains_key(id);
-            if is_awaited {
-                shared.arriving().insert(*id, Instant::now());
+        let (id, result) = match pieces.receive::<P>(&bytes) {
+            Ok(ReceivedFrame::Whole(LinkFrame::Reply { id, reply })) => (id, Ok(reply.into())),
+            Ok(ReceivedFrame::Whole(LinkFrame::NoReply { id, why })) => (id, Err(why)),
+            Ok(ReceivedFrame::Whole(_)) => continue,
+            Ok(ReceivedFrame::Piece(id)) => {
+                let is_awaited = shared.pending().contains_key(&id);
+                if is_awaited {
+                    shared.arriving().insert(id, Instant::now());
+                }
+                continue;
+            }
+            Ok(ReceivedFrame::Unreadable(id, why)) => {
+                log::warn!("reply to call {id} cannot be read: {why}");
+                (id, Err(why))
             }
-        }
-        let whole = frame.and_then(|frame| pieces.take(frame, decode_frame::<P>));
-        let (id, result) = match whole {
-            Ok(Some(LinkFrame::Reply { id, reply })) => (id, Ok(reply.into())),
-            Ok(Some(LinkFrame::NoReply { id, why })) => (id, Err(why)),
-            Ok(_) => continue,
             Err(error) => {
                 log::warn!("peer link closed: {error}");
                 return;
             }
         };
+        shared.arriving().remove(&id);
         let sender = shared.pending().remove(&id);
         if let Some(sender) = sender {
             sender.try_send(result).ok();
--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -1,7 +1,7 @@
 //! Frames of a link and their CBOR encoding.
 
 use compact_str::CompactString;
-use serde::de::DeserializeOwned;
+use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -124,6 +124,17 @@
     Ok(encoded)
 }
 
+/// Number of the call or reply in a frame whose content cannot be decoded.
+pub(crate) fn id_of_undecoded(bytes: &[u8]) -> Option<u64> {
+    let mut scratch = vec![0; bytes.len().max(SCRATCH_SIZE_MIN)];
+    let frame: Result<LinkFrame<IgnoredAny, IgnoredAny>, _> =
+        ciborium::de::from_reader_with_buffer(bytes, &mut scratch);
+    match frame.ok()? {
+        LinkFrame::Call { id, .. } | LinkFrame::Reply { id, .. } => Some(id),
+        LinkFrame::Hello { .. } | LinkFrame::NoReply { .. } | LinkFrame::Piece { .. } => None,
+    }
+}
+
 /// Decodes a frame and checks the version of a hello.
 ///
 /// # Errors
--- a/crates/link/src/pieces.rs
+++ b/crates/link/src/pieces.rs
@@ -2,7 +2,11 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use crate::frame::{LinkFrame, WireError, encode_piece};
+use compact_str::CompactString;
+
+use crate::frame::{
+    FrameOf, LinkFrame, LinkProtocol, WireError, decode_frame, encode_piece, id_of_undecoded,
+};
 use crate::stream::MESSAGE_SIZE_MAX;
 
 /// Bytes of one piece; larger frames are split.
@@ -72,20 +76,49 @@
         Ok(Some(frame))
     }
 
-    /// Takes a frame that was received, which may be a piece. Returns a whole one.
+    /// Takes a message that was received.
     ///
     /// # Errors
     ///
-    /// As [`Self::add`].
-    pub(crate) fn take<C, R>(
+    /// When it cannot be read, and not even the number of its call.
+    pub(crate) fn receive<P: LinkProtocol>(
         &mut self,
-        frame: LinkFrame<C, R>,
-        decode: impl Fn(&[u8]) -> Result<LinkFrame<C, R>, WireError>,
-    ) -> Result<Option<LinkFrame<C, R>>, WireError> {
+        bytes: &[u8],
+    ) -> Result<ReceivedFrame<P>, WireError> {
+        let frame = match decode_frame::<P>(bytes) {
+            Ok(frame) => frame,
+            Err(error) => return unreadable(bytes, error),
+        };
         let LinkFrame::Piece { id, is_last, bytes } = frame else {
-            return Ok(Some(frame));
+            return Ok(ReceivedFrame::Whole(frame));
         };
-        let whole = self.add(id, is_last, &bytes)?;
-        whole.map(|bytes| decode(&bytes)).transpose()
+        let Some(bytes) = self.add(id, is_last, &bytes)? else {
+            return Ok(ReceivedFrame::Piece(id));
+        };
+        match decode_frame::<P>(&bytes) {
+            Ok(frame) => Ok(ReceivedFrame::Whole(frame)),
+            Err(error) => unreadable(&bytes, error),
+        }
+    }
+}
+
+/// What a message that was received is.
+pub(crate) enum ReceivedFrame<P: LinkProtocol> {
+    /// A frame.
+    Whole(FrameOf<P>),
+    /// A piece of the frame of this call, which is not whole yet.
+    Piece(u64),
+    /// A frame of this call that cannot be read, and why.
+    Unreadable(u64, CompactString),
+}
+
+/// One message that cannot be read costs its call, and not the link.
+fn unreadable<P: LinkProtocol>(
+    bytes: &[u8],
+    error: WireError,
+) -> Result<ReceivedFrame<P>, WireError> {
+    match id_of_undecoded(bytes) {
+        Some(id) => Ok(ReceivedFrame::Unreadable(id, error.to_string().into())),
+        None => Err(error),
     }
 }
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -16,7 +16,7 @@
 
 use crate::client::{LinkTiming, write_frames};
 use crate::frame::{LinkFrame, LinkProtocol, decode_frame, encode_frame};
-use crate::pieces::{PieceBuffer, QueuedFrame};
+use crate::pieces::{PieceBuffer, QueuedFrame, ReceivedFrame};
 use crate::stream::{LinkStream, MeteredStream, link_config, next_message};
 
 /// Pause after a link could not be accepted, for example because the process has too
@@ -111,13 +111,18 @@
             let Message::Binary(bytes) = message else {
                 continue;
             };
-            let frame = decode_frame::<P>(&bytes);
-            match frame.and_then(|frame| pieces.take(frame, decode_frame::<P>)) {
-                Ok(Some(LinkFrame::Call { id, call })) => {
+            match pieces.receive::<P>(&bytes) {
+                Ok(ReceivedFrame::Whole(LinkFrame::Call { id, call })) => {
                     let work = handler(host.clone(), call.into());
                     fulmarrill_runtime::spawn(send_reply::<P>(id, work, outgoing.clone())).detach();
                 }
-                Ok(_) => {}
+                Ok(ReceivedFrame::Whole(_) | ReceivedFrame::Piece(_)) => {}
+                Ok(ReceivedFrame::Unreadable(id, why)) => {
+                    log::warn!("call {id} from {host} cannot be read: {why}");
+                    if let Ok(bytes) = encode_frame::<P>(&LinkFrame::NoReply { id, why }) {
+                        outgoing.send(QueuedFrame { id, bytes }).await.ok();
+                    }
+                }
                 Err(error) => {
                     log::warn!("link from {host} closed: {error}");
                     return;
--- a/crates/link/tests/pairing.rs
+++ b/crates/link/tests/pairing.rs
@@ -259,3 +259,70 @@
         assert!(!matches!(answer, Some(Ok(Message::Binary(_)))));
     });
 }
+
+/// Frames of another version of the program.
+#[derive(Debug, Serialize)]
+enum OddFrame {
+    Call { id: u64, call: Vec<u64> },
+    Reply { id: u64, reply: Vec<u64> },
+}
+
+async fn send_odd(stream: &mut WireStream, frame: &OddFrame) {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(frame, &mut bytes).unwrap();
+    stream.send(Message::binary(bytes)).await.unwrap();
+}
+
+/// Guards against one reply that cannot be read and ends every call on its link.
+#[test]
+fn reply_that_cannot_be_read_costs_its_call_alone() {
+    smol::block_on(async {
+        let (link, mut server) = connect_scripted().await;
+        let script = async {
+            let mut ids = Vec::new();
+            for _ in 0..2 {
+                let WireFrame::Call { id, .. } = receive(&mut server).await else {
+                    panic!("a call is expected");
+                };
+                ids.push(id);
+            }
+            let (id, reply_numbers) = (ids[0], vec![1; 5000]);
+            let odd = OddFrame::Reply {
+                id,
+                reply: reply_numbers,
+            };
+            send_odd(&mut server, &odd).await;
+            send(&mut server, &reply(ids[1], "whole")).await;
+        };
+        let call = |text: &str| link.call(text.to_owned(), deadline());
+        let ((odd, whole), ()) = zip(zip(call("a"), call("b")), script).await;
+        assert!(matches!(odd.unwrap_err(), LinkError::NoReply(_)));
+        assert_eq!(whole.unwrap(), "whole");
+        assert!(!link.is_closed());
+    });
+}
+
+/// Guards against one call that cannot be read and ends every call on its link; its caller is told.
+#[test]
+fn call_that_cannot_be_read_costs_itself_alone() {
+    smol::block_on(async {
+        let (address, _server) = serve().await;
+        let mut caller = connect_raw(&address).await;
+        send(&mut caller, &hello("h9")).await;
+        let odd = OddFrame::Call {
+            id: 1,
+            call: vec![1; 5000],
+        };
+        send_odd(&mut caller, &odd).await;
+        send(&mut caller, &call(2, "b")).await;
+        let mut answers = Vec::new();
+        while answers.len() < 2 {
+            if let Message::Binary(bytes) = caller.next().await.unwrap().unwrap() {
+                let answer: ciborium::Value = ciborium::from_reader(&bytes[..]).unwrap();
+                answers.push(format!("{answer:?}"));
+            }
+        }
+        assert!(answers[0].contains("NoReply"), "{answers:?}");
+        assert!(answers[1].contains("h9: b"), "{answers:?}");
+    });
+}
--- a/crates/proxy/src/port.rs
+++ b/crates/proxy/src/port.rs
@@ -46,7 +46,7 @@
     Accepted,
     /// The platform does not promote the instance.
     Refused,
-    /// The platform received nothing of the order.
+    /// The platform received nothing of the order, or turned it away unread.
     NotSent,
     /// No conclusive answer arrived; the order may still take effect.
     Unknown,
