--- a/src/commands.rs
+++ b/src/commands.rs
@@ -70,6 +70,7 @@
             callers,
             limits,
             drills,
+            losses,
             page,
         } => soak::run(seed, seeds, page.as_deref(), &|options| {
             options
@@ -77,6 +78,7 @@
                 .with_size(hosts, callers)
                 .with_limits(limits)
                 .with_drills(drills)
+                .with_losses(losses)
         }),
         Command::Demo { seconds, listen } => demo::run(seconds, listen),
     }
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -95,6 +95,8 @@
         limits: bool,
         /// Whether the store comes back from older copies.
         drills: bool,
+        /// Whether hosts are lost and orders held up.
+        losses: bool,
         /// File for a page with plots of the last seed.
         page: Option<PathBuf>,
     },
@@ -307,7 +309,10 @@
     let drills = long("drills")
         .help("Let the store come back from older copies, and primaries leave after that")
         .switch();
-    construct!(Command::Soak { seed, seeds, seconds, hosts, callers, limits, drills, page })
+    let losses = long("losses")
+        .help("Lose hosts for some seconds in series, and hold up orders to promote; not with --drills")
+        .switch();
+    construct!(Command::Soak { seed, seeds, seconds, hosts, callers, limits, drills, losses, page })
         .to_options()
         .descr("Injects random faults (kills, pauses, cuts, delays) around hosts that run as processes, and checks what callers were told")
         .footer("Example: fulmarrill soak --seed 7 --seconds 30\nExit code 2 if a guarantee to callers was violated; the output names the folder with the hosts' settings and logs.")
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -11,6 +11,9 @@
 const SIZE: (usize, usize) = (3, 6);
 const TIME: Duration = Duration::from_secs(10);
 const DRILL_SEED: u64 = 4404;
+const LOSS_SEED: u64 = 4801;
+/// Long enough for the loss of a host, its mark and its return.
+const LOSS_TIME: Duration = Duration::from_secs(20);
 /// Long enough for a drill, the time after which the store is stable, and a drain time.
 const DRILL_TIME: Duration = Duration::from_secs(24);
 
@@ -53,3 +56,22 @@
     assert!(report.acknowledged > 0);
     assert!(report.drains.checked > 0);
 }
+
+/// Guards against answers that are wrong because hosts were lost in series, or because orders to
+/// promote were held up and arrived late.
+#[test]
+fn answers_to_callers_hold_while_hosts_are_lost_and_orders_held_up() {
+    let program = Path::new(env!("CARGO_BIN_EXE_fulmarrill"));
+    let options = SoakOptions::new(program, LOSS_SEED)
+        .with_size(SIZE.0, SIZE.1)
+        .with_time(LOSS_TIME)
+        .with_losses(true);
+    let report = smol::block_on(run_soak(&options)).expect("the soak runs");
+    assert_eq!(
+        report.violations,
+        Vec::<String>::new(),
+        "{:#?}",
+        report.plan
+    );
+    assert!(report.acknowledged > 0);
+}
