--- a/crates/proxy/tests/stages.rs
+++ b/crates/proxy/tests/stages.rs
@@ -60,6 +60,9 @@
     instance_ends: u8,
 }
 
+/// Adds the state that follows by a change.
+type PushState<'a> = &'a mut dyn FnMut(&dyn Fn(&mut DatabaseState));
+
 impl DatabaseState {
     const fn new() -> Self {
         Self {
@@ -167,13 +170,7 @@
         states
     }
 
-    fn push_stage(
-        &self,
-        host: usize,
-        stage: Stage,
-        without: Option<WayOut>,
-        push: &mut dyn FnMut(&dyn Fn(&mut Self)),
-    ) {
+    fn push_stage(&self, host: usize, stage: Stage, without: Option<WayOut>, push: PushState<'_>) {
         let old = self.record.0;
         match stage {
             Stage::Reserved => push(&|next| {
