--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -589,7 +589,8 @@
                 return;
             }
             orders.renew_token();
-        } else if !self.is_reservation_shown().await {
+        }
+        if !self.is_reservation_shown().await {
             return;
         }
         let order = PromoteOrder {
--- a/crates/proxy/src/change/forget.rs
+++ b/crates/proxy/src/change/forget.rs
@@ -6,7 +6,7 @@
 use futures_util::future::join_all;
 use smol::Timer;
 
-use crate::catalogue::{CopyId, InstanceEntry, ObjectVersion};
+use crate::catalogue::{CopyId, InstanceEntry, ObjectVersion, TermRecord};
 use crate::change::REQUEST_TIMEOUT;
 use crate::change::copies::is_covered_by_rest;
 use crate::clock::BootTime;
@@ -66,7 +66,7 @@
 async fn is_covered(
     context: &SharedContext,
     view: &TrafficView,
-    record: &crate::catalogue::TermRecord,
+    record: &TermRecord,
     sync_replicas: usize,
 ) -> bool {
     let Some(primary) = view.instances.get(&record.primary) else {
--- a/crates/proxy/src/members.rs
+++ b/crates/proxy/src/members.rs
@@ -4,7 +4,7 @@
 //! messages. What a host receives from others anyway counts as hearing them, so a busy fleet
 //! needs few probes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
@@ -127,6 +127,9 @@
             }
         }
         self.monitor.set_members(now, watched);
+        let addresses: BTreeSet<_> = view.listed_hosts.iter().map(|host| &host.address).collect();
+        let is_listed = |address: &_| addresses.contains(address);
+        context.peers.retain_heard(is_listed);
     }
 
     /// Other hosts that were heard lately, some at random.
--- a/crates/proxy/src/peers/pool.rs
+++ b/crates/proxy/src/peers/pool.rs
@@ -79,6 +79,12 @@
         }
     }
 
+    /// Drops what was heard from hosts at other addresses than those that `is_listed` names.
+    pub fn retain_heard(&self, is_listed: impl Fn(&CompactString) -> bool) {
+        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        heard.retain(|address, _| is_listed(address));
+    }
+
     /// When something was last received from the host at `address`.
     #[must_use]
     pub fn heard_at(&self, address: &str) -> Option<Instant> {
