--- a/crates/proxy/src/change.rs
+++ b/crates/proxy/src/change.rs
@@ -590,7 +590,7 @@
             }
             orders.renew_token();
         }
-        if !self.is_reservation_shown().await {
+        if !self.is_reservation_shown().await || !self.is_in_time() {
             return;
         }
         let order = PromoteOrder {
