Lose what a stalled connection holds when its sender closes it, unless a test keeps it

Cause: the stand-in's forwarder kept a connection that was closed during a stall for ever since, so the instance ran out of connections.

--- a/crates/standin/src/forwarder.rs
+++ b/crates/standin/src/forwarder.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,7 @@
     /// Connections with lower numbers have stalled permanently.
     stalled_below: Mutex<u64>,
     bytes: std::sync::atomic::AtomicU64,
+    keeps_closed: AtomicBool,
 }
 
 impl ForwarderState {
@@ -83,6 +85,7 @@
             changed: Event::new(),
             stalled_below: Mutex::new(0),
             bytes: std::sync::atomic::AtomicU64::new(0),
+            keeps_closed: AtomicBool::new(false),
         });
         let next_number = Arc::new(std::sync::atomic::AtomicU64::new(0));
         let task =
@@ -119,6 +122,12 @@
         self.state.changed.notify(usize::MAX);
     }
 
+    /// From now on what was sent on a stalled connection is delivered after the stall also if
+    /// the sender has closed it meanwhile, unless it was reset. Otherwise it is lost.
+    pub fn keep_closed(&self) {
+        self.state.keeps_closed.store(true, Ordering::SeqCst);
+    }
+
     /// Lets the connections that stalled permanently go on.
     pub fn resume_stalled(&self) {
         *self
@@ -212,13 +221,14 @@
                 Timer::after(Duration::from_millis(1)).await;
             }
         }
-        // Waits until the writer has taken the last chunk.
+        // Waits until the writer has written the last chunk.
         loop {
-            if queue
+            let is_written = queue
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
-                .is_empty()
-            {
+                .is_empty();
+            let is_lost = state.is_stalled(number) && !state.keeps_closed.load(Ordering::SeqCst);
+            if is_written || is_lost {
                 return;
             }
             Timer::after(Duration::from_millis(1)).await;
