Resume a host's run that reports while its supposed successor is silent

The host's real run was then counted as an earlier one, and a share was set aside for the dead run until the store's list showed it gone.

Change: an earlier run that reports while the current one is silent becomes the current one again.

--- a/crates/limits/src/lender.rs
+++ b/crates/limits/src/lender.rs
@@ -108,6 +108,16 @@
             ..Self::new(run)
         };
     }
+
+    /// Takes an earlier run for the current one again if it still reports while that one is
+    /// silent: the first report of the run that ended had come after those of its successor.
+    fn resume_run(&mut self, now: Moment, run: u64) {
+        if self.is_silent(now)
+            && let Some(index) = self.earlier.iter().position(|counted| counted.run == run)
+        {
+            std::mem::swap(&mut self.current, &mut self.earlier[index]);
+        }
+    }
 }
 
 /// The bucket of one customer.
@@ -288,6 +298,7 @@
         }
         let spender = bucket.spenders.entry(from.into());
         let spender = spender.or_insert_with(|| KnownSpender::new(line.run));
+        spender.resume_run(now, line.run);
         if let Some(counted) = spender.earlier_run(line.run) {
             if let Some((admitted, refunded)) = counted.add(now, line, guards) {
                 bucket.take(admitted, refunded);
--- a/crates/limits/tests/schedules.rs
+++ b/crates/limits/tests/schedules.rs
@@ -559,6 +559,7 @@
 #[case(1_781_134_639_581_378_055)]
 #[case(10_559_041_221_161_676_798)]
 #[case(7_259_030_121_573_259_956)]
+#[case::first_report_after_its_successor(15_017_102_933_039_668_866)]
 fn late_reports_of_an_earlier_run_are_counted_once(#[case] seed: u64) {
     let outcome = Schedule::new(seed, Guards::default(), true).run();
     assert!(outcome.excess.is_none(), "{outcome:?}");
