--- a/crates/standin/src/forwarder.rs
+++ b/crates/standin/src/forwarder.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use event_listener::Event;
@@ -19,6 +19,9 @@
 /// is slowed down.
 const WINDOW_BYTES: usize = 1 << 20;
 
+/// Bytes that a connection of limited bandwidth holds in each buffer on its way.
+const LIMITED_WINDOW_BYTES: usize = 32 << 10;
+
 /// Faults injected into the forwarded connections.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ForwarderFaults {
@@ -31,6 +34,16 @@
     pub stall_open: bool,
     /// All connections stay open, but nothing is delivered.
     pub stalled: bool,
+    /// Bandwidth of each direction, shared by all connections. The buffers of a connection
+    /// are bounded if it is set when that one is accepted.
+    pub bytes_per_s: Option<u32>,
+}
+
+/// Where bytes go, from the caller to the target or back.
+#[derive(Debug, Clone, Copy)]
+enum Direction {
+    Up,
+    Down,
 }
 
 #[derive(Debug)]
@@ -40,6 +53,8 @@
     changed: Event,
     /// Connections with lower numbers have stalled permanently.
     stalled_below: Mutex<u64>,
+    /// When each direction has sent what it was given, if the bandwidth is limited.
+    sent_at: [Mutex<Instant>; 2],
     bytes: std::sync::atomic::AtomicU64,
     keeps_closed: AtomicBool,
 }
@@ -52,6 +67,19 @@
             .clone()
     }
 
+    /// Returns until when `count` more bytes of a direction are on their way if the
+    /// bandwidth is limited.
+    fn note_sent(&self, direction: Direction, count: usize) -> Option<Instant> {
+        let bytes_per_s = self.faults().bytes_per_s?;
+        let mut sent_at = self.sent_at[direction as usize]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
+        let time = Duration::from_secs(1) * count / bytes_per_s.max(1);
+        *sent_at = (*sent_at).max(Instant::now()) + time;
+        Some(*sent_at)
+    }
+
     fn is_stalled(&self, number: u64) -> bool {
         let below = *self
             .stalled_below
@@ -84,6 +112,7 @@
             faults: Mutex::new(faults),
             changed: Event::new(),
             stalled_below: Mutex::new(0),
+            sent_at: [Instant::now(); 2].map(Mutex::new),
             bytes: std::sync::atomic::AtomicU64::new(0),
             keeps_closed: AtomicBool::new(false),
         });
@@ -175,8 +204,19 @@
         return;
     };
     target.set_nodelay(true).ok();
-    let upstream = forward_bytes(caller.clone(), target.clone(), &state, number);
-    let downstream = forward_bytes(target, caller, &state, number);
+    if state.faults().bytes_per_s.is_some() {
+        for stream in [&caller, &target] {
+            sockopt::set_socket_recv_buffer_size(stream, LIMITED_WINDOW_BYTES).ok();
+        }
+    }
+    let upstream = forward_bytes(
+        caller.clone(),
+        target.clone(),
+        &state,
+        number,
+        Direction::Up,
+    );
+    let downstream = forward_bytes(target, caller, &state, number, Direction::Down);
     let both = smol::future::or(upstream, downstream);
     smol::future::or(both, wait_for_disconnect(&state)).await;
 }
@@ -191,6 +231,13 @@
     }
 }
 
+/// Bytes on their way, each chunk with the time at which it is due.
+type ChunkQueue = Mutex<VecDeque<(Instant, Vec<u8>)>>;
+
+fn lock(queue: &ChunkQueue) -> MutexGuard<'_, VecDeque<(Instant, Vec<u8>)>> {
+    queue.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Forwards bytes in one direction, each chunk after the delay that applied when
 /// it was read.
 async fn forward_bytes(
@@ -198,8 +245,9 @@
     mut to: TcpStream,
     state: &ForwarderState,
     number: u64,
+    direction: Direction,
 ) {
-    let queue: Mutex<VecDeque<(Instant, Vec<u8>)>> = Mutex::default();
+    let queue = ChunkQueue::default();
     let source = from.clone();
     let arrived = Event::new();
     let reader = async {
@@ -212,7 +260,7 @@
             };
             let due = Instant::now() + state.faults().delay;
             let waiting = {
-                let mut queue = queue.lock().unwrap_or_else(PoisonError::into_inner);
+                let mut queue = lock(&queue);
                 queue.push_back((due, chunk[..count].to_vec()));
                 queue.len()
             };
@@ -220,13 +268,15 @@
             if waiting * CHUNK_BYTES > WINDOW_BYTES {
                 Timer::after(Duration::from_millis(1)).await;
             }
+            while state.faults().bytes_per_s.is_some()
+                && lock(&queue).len() * CHUNK_BYTES > LIMITED_WINDOW_BYTES
+            {
+                Timer::after(Duration::from_millis(1)).await;
+            }
         }
         // Waits until the writer has written the last chunk.
         loop {
-            let is_written = queue
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .is_empty();
+            let is_written = lock(&queue).is_empty();
             let is_lost = state.is_stalled(number) && !state.keeps_closed.load(Ordering::SeqCst);
             if is_written || is_lost {
                 return;
@@ -238,11 +288,7 @@
         loop {
             let listener = arrived.listen();
             // Taken out once it is written, since the reader waits for that.
-            let next = queue
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .front()
-                .cloned();
+            let next = lock(&queue).front().cloned();
             let Some((due, bytes)) = next else {
                 listener.await;
                 continue;
@@ -262,14 +308,14 @@
             if to.write_all(&bytes).await.is_err() {
                 return;
             }
-            queue
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .pop_front();
+            lock(&queue).pop_front();
             let count = bytes.len() as u64;
             state
                 .bytes
                 .fetch_add(count, std::sync::atomic::Ordering::Relaxed);
+            if let Some(sent_at) = state.note_sent(direction, bytes.len()) {
+                Timer::at(sent_at).await;
+            }
         }
     };
     smol::future::or(reader, writer).await;
